--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,96 @@
+// Package event writes the log of a process. Each line is a numbered event
+// out of the catalogue in docs/EVENTS.md; the number stays the same for good,
+// so that operators can search and alert by it. Each part of the system has
+// a range of its own, in a file of its own here.
+package event
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Kind is one kind of event. Kinds are declared in this package only.
+type Kind struct {
+	// Number identifies the kind; it is never reused.
+	Number int
+	// Name is the message of the log line, in Pascal case.
+	Name string
+	// Level is the severity.
+	Level zapcore.Level
+	// Text says in one sentence what the event means, for the catalogue.
+	Text string
+}
+
+// Log writes events. The zero value writes nothing.
+type Log struct {
+	zap *zap.Logger
+}
+
+// Open returns a log that appends JSON lines to a file, or to standard error
+// when the name is empty. Each line carries the name of the instance.
+func Open(file, level, instance string) (*Log, error) {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "event: level %q", level)
+	}
+	if file == "" {
+		file = "stderr"
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(lvl)
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.OutputPaths = []string{file}
+	cfg.ErrorOutputPaths = []string{"stderr"}
+	cfg.EncoderConfig.TimeKey = "Time"
+	cfg.EncoderConfig.LevelKey = "Level"
+	cfg.EncoderConfig.MessageKey = "Event"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	logger, err := cfg.Build(zap.Fields(zap.String("Instance", instance), zap.Int("Process", os.Getpid())))
+	if err != nil {
+		return nil, eris.Wrapf(err, "event: open %s", file)
+	}
+
+	return &Log{zap: logger}, nil
+}
+
+// Write writes one event with its fields, whose keys are in Pascal case.
+func (l *Log) Write(kind *Kind, fields ...zap.Field) {
+	if l == nil || l.zap == nil {
+		return
+	}
+	entry := l.zap.Check(kind.Level, kind.Name)
+	if entry == nil {
+		return
+	}
+	entry.Write(append(fields, zap.Int("Number", kind.Number))...)
+}
+
+// Close flushes the log.
+func (l *Log) Close() {
+	if l == nil || l.zap == nil {
+		return
+	}
+	// Sync of a terminal fails on some systems; there is nothing to do about it.
+	_ = l.zap.Sync()
+}
+
+// catalogue holds all kinds, in the order of the ranges.
+var catalogue []*Kind
+
+// declare adds a kind to the catalogue.
+func declare(number int, name string, level zapcore.Level, text string) *Kind {
+	kind := &Kind{
+		Number: number,
+		Name:   name,
+		Level:  level,
+		Text:   text,
+	}
+	catalogue = append(catalogue, kind)
+
+	return kind
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,296 @@
+// Package standin holds small replacements of the systems that papayastair
+// works with: the platform's object API, model engines and plain services.
+// They run inside tests and the demo, or as processes of their own by
+// "papayastair standin". They keep their own accounts, against which the
+// system's promises are checked.
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	_maxValueBytes   = 1 << 20
+	_maxHistory      = 100000
+	_maxStoreLatency = time.Minute
+)
+
+// StoreFaults are the switches of a Store's failures. The zero value is a
+// healthy store.
+type StoreFaults struct {
+	// Down refuses all calls without effect.
+	Down bool
+	// Latency delays each call.
+	Latency time.Duration
+	// LoseReplies lets writes take effect and fails their calls.
+	LoseReplies bool
+	// Stale answers reads from the state as it was when Stale was set.
+	Stale bool
+}
+
+// Store is the object API in memory, with versions, conditional updates,
+// watches, call counting and failures. Use NewStore.
+type Store struct {
+	mu       sync.Mutex
+	revision int
+	objects  map[objectKey]wire.Object
+	stale    map[objectKey]wire.Object
+	history  []wire.Object
+	dropped  int
+	changed  chan struct{}
+	faults   StoreFaults
+	calls    map[string]int
+	sleep    func(ctx context.Context, d time.Duration) error
+}
+
+type objectKey struct {
+	kind string
+	name string
+}
+
+// NewStore returns an empty, healthy store.
+func NewStore() *Store {
+	return &Store{
+		objects: map[objectKey]wire.Object{},
+		changed: make(chan struct{}),
+		calls:   map[string]int{},
+		sleep:   sleep,
+	}
+}
+
+// SetFaults replaces the failures.
+func (s *Store) SetFaults(faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if faults.Stale && !s.faults.Stale {
+		s.stale = make(map[objectKey]wire.Object, len(s.objects))
+		for key, object := range s.objects {
+			s.stale[key] = object
+		}
+	}
+	s.faults = faults
+	s.notify()
+}
+
+// Calls is the number of calls so far, by operation.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for op, n := range s.calls {
+		calls[op] = n
+	}
+
+	return calls
+}
+
+// Platform returns access to the store without a network.
+func (s *Store) Platform() platform.Store {
+	return platform.Store{
+		Get:    s.get,
+		List:   s.list,
+		Put:    s.put,
+		Delete: s.remove,
+		Watch:  s.watch,
+	}
+}
+
+func (s *Store) get(ctx context.Context, kind, name string) (wire.Object, error) {
+	objects, _, err := s.enter(ctx, "get", kind, name)
+	if err != nil {
+		return wire.Object{}, err
+	}
+	defer s.mu.Unlock()
+	object, ok := objects[objectKey{kind: kind, name: name}]
+	if !ok {
+		return wire.Object{}, failure("get", kind, name, platform.CodeNotFound, 0)
+	}
+
+	return object, nil
+}
+
+func (s *Store) list(ctx context.Context, kind string) (wire.ObjectList, error) {
+	objects, _, err := s.enter(ctx, "list", kind, "")
+	if err != nil {
+		return wire.ObjectList{}, err
+	}
+	defer s.mu.Unlock()
+	list := wire.ObjectList{Version: s.revision}
+	for key, object := range objects {
+		if key.kind == kind {
+			list.Objects = append(list.Objects, object)
+		}
+	}
+	slices.SortFunc(list.Objects, func(a, b wire.Object) int { return cmp.Compare(a.Name, b.Name) })
+
+	return list, nil
+}
+
+func (s *Store) put(ctx context.Context, kind, name, value string, version int) (int, error) {
+	return s.write(ctx, "put", wire.Object{
+		Kind:    kind,
+		Name:    name,
+		Version: version,
+		Value:   value,
+	})
+}
+
+func (s *Store) remove(ctx context.Context, kind, name string, version int) error {
+	_, err := s.write(ctx, "delete", wire.Object{
+		Kind:    kind,
+		Name:    name,
+		Version: version,
+		Value:   "",
+	})
+
+	return err
+}
+
+// write applies a conditional write; object.Version is the version that the
+// object must have.
+func (s *Store) write(ctx context.Context, op string, object wire.Object) (int, error) {
+	_, faults, err := s.enter(ctx, op, object.Kind, object.Name)
+	if err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	if len(object.Value) > _maxValueBytes {
+		return 0, failure(op, object.Kind, object.Name, platform.CodeNotRun, 0)
+	}
+	key := objectKey{kind: object.Kind, name: object.Name}
+	if current := s.objects[key].Version; current != object.Version {
+		return 0, failure(op, object.Kind, object.Name, platform.CodeConflict, current)
+	}
+	s.revision++
+	object.Version = s.revision
+	s.objects[key] = object
+	if op == "delete" {
+		delete(s.objects, key)
+	}
+	s.history = append(s.history, object)
+	if excess := len(s.history) - _maxHistory; excess > 0 {
+		s.history = slices.Clone(s.history[excess:])
+		s.dropped = s.history[0].Version - 1
+	}
+	s.notify()
+	if faults.LoseReplies {
+		return 0, failure(op, object.Kind, object.Name, platform.CodeUnknown, 0)
+	}
+
+	return s.revision, nil
+}
+
+func (s *Store) watch(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
+	if _, _, err := s.enter(ctx, "watch", kind, ""); err != nil {
+		return wire.ObjectList{}, err
+	}
+	for {
+		if after < s.dropped {
+			s.mu.Unlock()
+
+			return wire.ObjectList{}, failure("watch", kind, "", platform.CodeGone, 0)
+		}
+		list := s.changesAfter(kind, after)
+		changed, down := s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return wire.ObjectList{}, failure("watch", kind, "", platform.CodeNotRun, 0)
+		}
+		if len(list.Objects) > 0 {
+			return list, nil
+		}
+		select {
+		case <-ctx.Done():
+			return list, nil
+		case <-changed:
+		}
+		s.mu.Lock()
+	}
+}
+
+// changesAfter returns the last state of each object of a kind written after
+// a revision. The lock is held.
+func (s *Store) changesAfter(kind string, after int) wire.ObjectList {
+	list := wire.ObjectList{Version: s.revision}
+	if s.faults.Stale {
+		return list
+	}
+	first, _ := slices.BinarySearchFunc(s.history, after+1, func(o wire.Object, revision int) int {
+		return cmp.Compare(o.Version, revision)
+	})
+	last := map[string]int{}
+	for _, object := range s.history[first:] {
+		if object.Kind != kind {
+			continue
+		}
+		if i, ok := last[object.Name]; ok {
+			list.Objects[i] = object
+
+			continue
+		}
+		last[object.Name] = len(list.Objects)
+		list.Objects = append(list.Objects, object)
+	}
+
+	return list
+}
+
+// enter counts a call and applies the failures. Without an error the lock is
+// held on return, and the objects to read from are returned.
+func (s *Store) enter(ctx context.Context, op, kind, name string) (map[objectKey]wire.Object, StoreFaults, error) {
+	s.mu.Lock()
+	s.calls[op]++
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Latency > 0 {
+		if err := s.sleep(ctx, min(faults.Latency, _maxStoreLatency)); err != nil {
+			return nil, faults, failure(op, kind, name, platform.CodeNotRun, 0)
+		}
+	}
+	s.mu.Lock()
+	if s.faults.Down {
+		s.mu.Unlock()
+
+		return nil, faults, failure(op, kind, name, platform.CodeNotRun, 0)
+	}
+	if s.faults.Stale {
+		return s.stale, s.faults, nil
+	}
+
+	return s.objects, s.faults, nil
+}
+
+// notify wakes the watches. The lock is held.
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func failure(op, kind, name string, code platform.Code, version int) *platform.Error {
+	return &platform.Error{
+		Op:      op,
+		Kind:    kind,
+		Name:    name,
+		Code:    code,
+		Version: version,
+		Reason:  "stand-in",
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	alarm := time.NewTimer(d)
+	defer alarm.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-alarm.C:
+		return nil
+	}
+}
