--- a/connection/client.go
+++ b/connection/client.go
@@ -18,9 +18,26 @@
 	_maxConnections    = 4096
 )
 
-// NewClient returns a client that streams response bodies and never repeats
-// a request. A zero readTimeout means that reads wait without limit.
+// NewClient returns a client that never repeats a request. An answer must be
+// complete within readTimeout; 0 means without limit.
 func NewClient(readTimeout time.Duration) *fasthttp.Client {
+	client := newClient(0)
+	client.ReadTimeout = readTimeout
+
+	return client
+}
+
+// NewStreamClient returns a client that hands out response bodies as streams
+// and never repeats a request. A connection that brings nothing for idle, in
+// the middle of an answer, fails; 0 means without limit.
+func NewStreamClient(idle time.Duration) *fasthttp.Client {
+	client := newClient(idle)
+	client.StreamResponseBody = true
+
+	return client
+}
+
+func newClient(idle time.Duration) *fasthttp.Client {
 	dialer := &fasthttp.TCPDialer{Concurrency: _maxConnections}
 
 	return &fasthttp.Client{
@@ -32,10 +49,32 @@
 		MaxIdleConnDuration: _maxIdleConnection,
 		MaxConnsPerHost:     _maxConnections,
 		ReadBufferSize:      _maxHeaderBytes,
-		ReadTimeout:         readTimeout,
-		StreamResponseBody:  true,
 		Dial: func(addr string) (net.Conn, error) {
-			return dialer.DialTimeout(addr, _dialTimeout)
+			conn, err := dialer.DialTimeout(addr, _dialTimeout)
+			if err != nil || idle <= 0 {
+				return conn, err
+			}
+
+			return &idleConn{
+				Conn: conn,
+				idle: idle,
+			}, nil
 		},
 	}
 }
+
+// idleConn limits the time of each read.
+type idleConn struct {
+	net.Conn
+
+	idle time.Duration
+}
+
+// Read waits at most idle for bytes.
+func (c *idleConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+
+	return c.Conn.Read(p)
+}
