--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+const _maxRequestBytes = 16 << 20
+
+// server is an HTTP server on one address, shared by the stand-ins. ctx ends
+// when the server closes, so that handlers that wait return.
+type server struct {
+	address string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	http    *fasthttp.Server
+	wg      conc.WaitGroup
+}
+
+// newServer listens on address, an IP:port whose port may be 0, and serves
+// handle.
+func newServer(address string, handle func(ctx context.Context, r *fasthttp.RequestCtx)) (*server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "standin: listen on %s", address)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &server{
+		address: ln.Addr().String(),
+		ctx:     ctx,
+		cancel:  cancel,
+		http: &fasthttp.Server{
+			Handler:               func(r *fasthttp.RequestCtx) { handle(ctx, r) },
+			MaxRequestBodySize:    _maxRequestBytes,
+			NoDefaultServerHeader: true,
+			CloseOnShutdown:       true,
+		},
+	}
+	s.wg.Go(func() {
+		// Serve returns when the listener is closed.
+		_ = s.http.Serve(ln)
+	})
+
+	return s, nil
+}
+
+// close ends what waits, and waits until all connections are closed.
+func (s *server) close() {
+	s.cancel()
+	// The listener is closed once; its error says nothing new.
+	_ = s.http.Shutdown()
+	s.wg.Wait()
+}
+
+// drop closes the connection of a request without an answer.
+func drop(r *fasthttp.RequestCtx) {
+	r.HijackSetNoResponse(true)
+	r.Hijack(func(net.Conn) {})
+}
+
+// reply answers with a value in JSON.
+func reply(r *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusInternalServerError)
+
+		return
+	}
+	r.SetStatusCode(status)
+	r.SetContentType("application/json")
+	r.SetBody(body)
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	alarm := time.NewTimer(d)
+	defer alarm.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-alarm.C:
+		return nil
+	}
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -79,6 +79,14 @@
 	s.notify()
 }
 
+// Faults are the failures in force.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
 // Calls is the number of calls so far, by operation.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -267,6 +275,13 @@
 	return s.objects, s.faults, nil
 }
 
+// count counts a call.
+func (s *Store) count(op string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[op]++
+}
+
 // notify wakes the watches. The lock is held.
 func (s *Store) notify() {
 	close(s.changed)
@@ -283,14 +298,3 @@
 		Reason:  "stand-in",
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
