--- a/wire/platform.gen.go
+++ b/wire/platform.gen.go
@@ -69,3 +69,17 @@
 	// after it.
 	Version int `json:"Version"`
 }
+
+// Write identifies one conditional write. A value that holds its latest writes
+// tells a writer whose reply was lost what became of its own, also after others
+// wrote.
+type Write struct {
+	// Base is the version that the write replaced; 0 for the first.
+	Base int `json:"Base"`
+
+	// Sequence counts the writes of the writer.
+	Sequence int `json:"Sequence"`
+
+	// WriterID is unique for each start of a process.
+	WriterID string `json:"WriterID"`
+}
