--- a/standin/server.go
+++ b/standin/server.go
@@ -17,6 +17,7 @@
 // when the server closes, so that handlers that wait return.
 type server struct {
 	address string
+	ln      net.Listener
 	ctx     context.Context
 	cancel  context.CancelFunc
 	http    *fasthttp.Server
@@ -33,6 +34,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{
 		address: ln.Addr().String(),
+		ln:      ln,
 		ctx:     ctx,
 		cancel:  cancel,
 		http: &fasthttp.Server{
@@ -53,9 +55,11 @@
 // close ends what waits, and waits until all connections are closed.
 func (s *server) close() {
 	s.cancel()
-	// The listener is closed once; its error says nothing new.
-	_ = s.http.Shutdown()
+	// Shutdown does nothing before Serve has begun, so the listener is closed
+	// first. Errors of closing it twice say nothing new.
+	_ = s.ln.Close()
 	s.wg.Wait()
+	_ = s.http.Shutdown()
 }
 
 // drop closes the connection of a request without an answer.
