--- a/wire/configuration.gen.go
+++ b/wire/configuration.gen.go
@@ -2,11 +2,40 @@
 
 package wire
 
+// DomainStatus is the object of kind Status that a relay writes for the instances
+// of its failure domain.
+type DomainStatus struct {
+	// FailureDomain is the failure domain.
+	FailureDomain string `json:"FailureDomain"`
+
+	// Instances are sorted by name.
+	Instances []InstanceStatus `json:"Instances"`
+
+	// Relay is the instance that wrote this.
+	Relay string `json:"Relay"`
+}
+
+// FetchReply answers a FetchRequest with some of the contents, as many as fit into
+// a message.
+type FetchReply struct {
+	// Contents are canonical JSON of subtrees; the receiver computes their digests.
+	Contents []string `json:"Contents"`
+}
+
+// FetchRequest asks a peer for the contents of subtrees.
+type FetchRequest struct {
+	// Digests name the contents.
+	Digests []string `json:"Digests"`
+}
+
 // Head is the accepted configuration: a version and the digest of each subtree. It
 // is the object that apply updates conditionally, so that a change of several
 // subtrees is atomic.
 type Head struct {
-	// Subtrees corresponds to the JSON schema field "Subtrees".
+	// Recent are the newest changes, newest last, this version's among them.
+	Recent []HeadChange `json:"Recent"`
+
+	// Subtrees are sorted by path.
 	Subtrees []SubtreeRef `json:"Subtrees"`
 
 	// Version counts accepted configurations, from 1.
@@ -16,6 +45,37 @@
 	Writer Writer `json:"Writer"`
 }
 
+// HeadChange tells which write brought a version. An operator whose reply was lost
+// finds its own write here even after others have written.
+type HeadChange struct {
+	// Paths are the subtrees that were written or removed.
+	Paths []string `json:"Paths"`
+
+	// Version is the version that the change made.
+	Version int `json:"Version"`
+
+	// Writer corresponds to the JSON schema field "Writer".
+	Writer Writer `json:"Writer"`
+}
+
+// InstanceStatus tells what one instance has in force.
+type InstanceStatus struct {
+	// HeardMillisecondsAgo is the time since the instance told this.
+	HeardMillisecondsAgo int `json:"HeardMillisecondsAgo"`
+
+	// Name is the instance's name.
+	Name string `json:"Name"`
+
+	// Pending is a newer version that it knows of; 0 means none.
+	Pending int `json:"Pending"`
+
+	// Problem says why the pending version is not in force.
+	Problem string `json:"Problem"`
+
+	// Version is in force there; 0 means none.
+	Version int `json:"Version"`
+}
+
 // SubtreeRef names the content of a subtree.
 type SubtreeRef struct {
 	// Digest is the SHA-256 of the subtree's canonical JSON in hexadecimal; the
@@ -29,6 +89,43 @@
 	Since int `json:"Since"`
 }
 
+// SyncReply answers a SyncRequest.
+type SyncReply struct {
+	// AgeMilliseconds is the time between the start of that reading and this reply.
+	AgeMilliseconds int `json:"AgeMilliseconds"`
+
+	// Current is the version that a reading of the store has shown to be the newest;
+	// 0 means that no reading is known.
+	Current int `json:"Current"`
+
+	// Head is the head in force at the replier if it is newer than the sender's,
+	// otherwise empty.
+	Head Head `json:"Head"`
+
+	// Version is in force at the replier; 0 means none.
+	Version int `json:"Version"`
+}
+
+// SyncRequest tells a peer which configuration the sender has and asks for the
+// peer's. A peer that has an older one asks back.
+type SyncRequest struct {
+	// Address is the sender's peer address.
+	Address string `json:"Address"`
+
+	// Name is the sender's name.
+	Name string `json:"Name"`
+
+	// Pending is a newer version that the sender knows of and can't put in force yet;
+	// 0 means none.
+	Pending int `json:"Pending"`
+
+	// Problem says why the pending version is not in force.
+	Problem string `json:"Problem"`
+
+	// Version is in force at the sender; 0 means none.
+	Version int `json:"Version"`
+}
+
 // Writer marks who wrote a value, so that a writer whose reply was lost can tell
 // its own write from another's.
 type Writer struct {
--- a/wire/settings.gen.go
+++ b/wire/settings.gen.go
@@ -161,6 +161,10 @@
 	// PeerAddress is the IP:port that other instances connect to.
 	PeerAddress string `json:"PeerAddress"`
 
+	// PeerAddresses are peer addresses of other instances, asked at the start besides
+	// the platform's list; any few of them do.
+	PeerAddresses []string `json:"PeerAddresses"`
+
 	// PlatformAddress is the IP:port of the platform's object API.
 	PlatformAddress string `json:"PlatformAddress"`
 
