--- /dev/null
+++ b/order/adapter.go
@@ -0,0 +1,93 @@
+package order
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"papayastair.dev/papayastair/wire"
+)
+
+// _adapterIdle is how long an adapter must not have been asked for until it
+// may make room.
+const _adapterIdle = time.Minute
+
+// adapterOrders orders the adapters that were asked for beside serving copies
+// of their models, and unloads of idle ones where they lack room.
+func (s *server) adapterOrders(t turn) []*ledgerEntry {
+	var due []*ledgerEntry
+	requested := s.requested(s.settings.Name)
+	for _, name := range slices.Sorted(maps.Keys(requested)) {
+		i := slices.IndexFunc(t.fleet.Adapters, func(a wire.Adapter) bool { return a.Name == name })
+		if i < 0 || t.now.Sub(requested[name]) > _adapterIdle {
+			continue
+		}
+		due = append(due, s.loadAdapter(t.fleet.Adapters[i], requested)...)
+	}
+
+	return due
+}
+
+func (s *server) loadAdapter(adapter wire.Adapter, requested map[string]time.Time) []*ledgerEntry {
+	var hosts []string
+	for _, r := range s.ledger.residents() {
+		if r.Model != adapter.Model || r.State != wire.ResidentStateServing {
+			continue
+		}
+		key := memoryKey{
+			accelerator: r.Accelerator,
+			model:       adapter.Model,
+			adapter:     adapter.Name,
+			version:     adapter.Version,
+		}
+		_, resident := s.ledger.resident(key)
+		if resident || !s.ledger.idle(key) {
+			return nil
+		}
+		if r.Adapter == "" && s.ledger.idle(keyOfResident(r)) {
+			hosts = append(hosts, r.Accelerator)
+		}
+	}
+	if len(hosts) == 0 {
+		return nil
+	}
+	host := slices.MaxFunc(hosts, func(a, b string) int { return cmp.Compare(s.free(a), s.free(b)) })
+	lacking := adapter.MemoryBytes - s.free(host)
+	if lacking > 0 {
+		return s.evictAdapters(host, lacking, requested)
+	}
+
+	return []*ledgerEntry{s.newOrder(wire.OrderActionLoad, memoryKey{
+		accelerator: host,
+		model:       adapter.Model,
+		adapter:     adapter.Name,
+		version:     adapter.Version,
+	}, adapter.MemoryBytes)}
+}
+
+// evictAdapters orders unloads of adapters, the longest unused first, until
+// enough memory will come free; with requested set, only of idle ones.
+func (s *server) evictAdapters(accelerator string, lacking int, requested map[string]time.Time) []*ledgerEntry {
+	now := s.Timer.Now()
+	candidates := slices.DeleteFunc(s.ledger.residents(), func(r wire.Resident) bool {
+		busy := requested != nil && now.Sub(requested[r.Adapter]) <= _adapterIdle
+
+		return r.Adapter == "" || r.Accelerator != accelerator || busy
+	})
+	slices.SortStableFunc(candidates, func(a, b wire.Resident) int {
+		return requested[a.Adapter].Compare(requested[b.Adapter])
+	})
+	var due []*ledgerEntry
+	for _, r := range candidates {
+		if lacking <= 0 {
+			break
+		}
+		lacking -= r.MemoryBytes
+		if key := keyOfResident(r); r.State != wire.ResidentStateUnloading && s.ledger.mayUnload(key) {
+			due = append(due, s.newOrder(wire.OrderActionUnload, key, r.MemoryBytes))
+		}
+	}
+
+	return due
+}
