--- a/history/history_test.go
+++ b/history/history_test.go
@@ -21,12 +21,11 @@
 	}
 }
 
-func of(kind wire.HistoryEventKind, id, source string, index int) wire.HistoryEvent {
+func of(kind wire.HistoryEventKind, id, source string) wire.HistoryEvent {
 	return wire.HistoryEvent{
 		Kind:      kind,
 		RequestID: id,
 		SourceID:  source,
-		Index:     index,
 		Text:      source,
 	}
 }
@@ -69,10 +68,10 @@
 			BurstTokens:         burst,
 		}
 	}
-	settled := of(wire.HistoryEventKindSettled, "a", "", 0)
+	settled := of(wire.HistoryEventKindSettled, "a", "")
 	settled.Tokens = 40
 	ran := func(id, key string) wire.HistoryEvent {
-		e := of(wire.HistoryEventKindAttemptRan, id, "", 0)
+		e := of(wire.HistoryEventKindAttemptRan, id, "")
 		e.IdempotencyKey = key
 
 		return e
@@ -100,10 +99,10 @@
 		row("key ran twice", CheckAtMostOnce, 1, ran("a", "k"), ran("b", "k")),
 		row("not run is true", CheckNotRun, 0, ran("a", ""), answered("b", "NotRun", 0), answered("a", "Unknown", 0)),
 		row("not run is false", CheckNotRun, 1, answered("a", "NotRun", 0), ran("a", "")),
-		row("whole answer", CheckAnswers, 0, of(sent, "a", "a", 0), of(got, "a", "a", 0), answered("a", "Done", 1)),
-		row("missing chunk", CheckAnswers, 1, of(sent, "a", "a", 0), of(got, "a", "a", 0), answered("a", "Done", 2)),
-		row("repeated chunk", CheckAnswers, 1, of(sent, "a", "a", 0), of(got, "a", "a", 0), of(got, "a", "a", 0)),
-		row("another's chunk", CheckAnswers, 1, of(sent, "b", "b", 0), of(got, "a", "b", 0)),
+		row("whole answer", CheckAnswers, 0, of(sent, "a", "a"), of(got, "a", "a"), answered("a", "Done", 1)),
+		row("missing chunk", CheckAnswers, 1, of(sent, "a", "a"), of(got, "a", "a"), answered("a", "Done", 2)),
+		row("repeated chunk", CheckAnswers, 1, of(sent, "a", "a"), of(got, "a", "a"), of(got, "a", "a")),
+		row("another's chunk", CheckAnswers, 1, of(sent, "b", "b"), of(got, "a", "b")),
 		row("version stands", CheckVersions, 0, inForce("i", 2), inForce("j", 1), inForce("i", 2)),
 		row("version reverts", CheckVersions, 1, inForce("i", 2), inForce("i", 1)),
 		row("key within grace", keys, 0, withdrawn, admitted(2, "a", 1)),
