--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -29,14 +29,24 @@
 		t.Fatal(err)
 	}
 	defer store.Close()
+	server := wire.BackendServer{
+		Name:          "engine-1",
+		Kind:          wire.BackendServerKindEngine,
+		FailureDomain: "a",
+		Slots:         4,
+		Accelerators: []wire.Accelerator{{
+			Name:        "0",
+			MemoryBytes: 10,
+		}},
+	}
 	model, err := standin.NewEngine(standin.EngineConfig{
-		Name:    "engine-1",
+		Server:  server,
 		Address: "127.0.0.1:0",
-		Slots:   4,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	server.Address = model.Address()
 	defer model.Close()
 	model.Account().Forbid(_key)
 	subtree := wire.Subtree{
@@ -56,18 +66,16 @@
 			Name:        "badge",
 			MemoryBytes: 1,
 		}},
-		BackendServers: []wire.BackendServer{{
-			Name:          "engine-1",
-			Kind:          wire.BackendServerKindEngine,
-			Address:       model.Address(),
-			FailureDomain: "a",
-			Slots:         4,
-			Accelerators: []wire.Accelerator{{
-				Name:        "0",
-				MemoryBytes: 10,
-			}},
-		}},
+		BackendServers: []wire.BackendServer{server},
 	}
+	model.Accelerators().Apply(wire.Order{
+		ID:          "1",
+		Action:      wire.OrderActionLoad,
+		Model:       "badge",
+		Version:     "1",
+		Accelerator: "0",
+		MemoryBytes: 1,
+	}, time.Now().Add(-time.Hour))
 	ctx := context.Background()
 	if _, err := store.Store.Platform().Put(ctx, "Subtree", "kandy", settings.Encode(subtree), 0); err != nil {
 		t.Fatal(err)
--- a/standin/account.go
+++ b/standin/account.go
@@ -33,6 +33,10 @@
 	Done     int64
 	Canceled int64
 	Crashes  int64
+	// OvercommittedBytes is the most by which an accelerator's memory was
+	// overcommitted, and Loads is the number of loads begun.
+	OvercommittedBytes int
+	Loads              int
 }
 
 // Forbid adds a string that no request may hold in its line, headers or body.
--- a/standin/server.go
+++ b/standin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,8 @@
 	cancel  context.CancelFunc
 	http    *fasthttp.Server
 	wg      conc.WaitGroup
+	ln      net.Listener
+	conns   sync.Map
 }
 
 // newServer listens on address, an IP:port whose port may be 0, and serves
@@ -35,6 +38,7 @@
 		address: ln.Addr().String(),
 		ctx:     ctx,
 		cancel:  cancel,
+		ln:      ln,
 		http: &fasthttp.Server{
 			Handler:               func(r *fasthttp.RequestCtx) { handle(ctx, r) },
 			MaxRequestBodySize:    _maxRequestBytes,
@@ -42,6 +46,14 @@
 			CloseOnShutdown:       true,
 		},
 	}
+	s.http.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+		if state == fasthttp.StateNew {
+			s.conns.Store(conn, true)
+		}
+		if state == fasthttp.StateClosed {
+			s.conns.Delete(conn)
+		}
+	}
 	s.wg.Go(func() {
 		// Serve returns when the listener is closed.
 		_ = s.http.Serve(ln)
@@ -58,6 +70,20 @@
 	s.wg.Wait()
 }
 
+// abort stops listening and cuts all connections, as the death of a process
+// does.
+func (s *server) abort() {
+	s.cancel()
+	_ = s.ln.Close()
+	s.conns.Range(func(conn, _ any) bool {
+		if c, ok := conn.(net.Conn); ok {
+			_ = c.Close()
+		}
+
+		return true
+	})
+}
+
 // drop closes the connection of a request without an answer.
 func drop(r *fasthttp.RequestCtx) {
 	r.HijackSetNoResponse(true)
