Know who is alive and who leaves

Cause: an instance had no view of the others but the platform's list, which lags. Change: package membership: random probing in the manner of SWIM over package peer, with indirect probes, suspicions that can be denied, findings that travel on the probes, the words of leaving members, and the platform's list by a watch. First trials showed three faults, mended here: a denial was used up on answers to calls that had timed out during a pause, so the paused instance stayed failed for a minute; a lapsed suspicion of a backend server came back with its own copies for ever; a restarted instance that knew no list was not told of the others.

--- /dev/null
+++ b/membership/carrier.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"papayastair.dev/papayastair/peer"
+	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	_probeMethod     = "Membership.Probe"
+	_directTimeout   = 500 * time.Millisecond
+	_indirectTimeout = 800 * time.Millisecond
+	_listTimeout     = 30 * time.Second
+)
+
+// Register lets peers call the detector. Call it before the server serves.
+func Register(server *peer.Server, d *Detector) {
+	peer.Register(server, _probeMethod, func(probe wire.Probe) (wire.ProbeReply, error) {
+		answer := make(chan wire.ProbeReply, 1)
+		d.HandleProbe(probe, func(reply wire.ProbeReply) { answer <- reply })
+		select {
+		case reply := <-answer:
+			return reply, nil
+		case <-time.After(_indirectTimeout):
+			// The pool was closed while the third instance was probed.
+			return wire.ProbeReply{}, nil
+		}
+	})
+}
+
+// Carrier does a detector's calls on the store. Use Carry.
+type Carrier struct {
+	store  platform.Store
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	wg conc.WaitGroup
+}
+
+// Carry sets the function fields of a detector that reach the store and the
+// peers. Close the carrier after the detector is stopped and before the pool
+// is closed.
+func Carry(d *Detector, pool *peer.Pool, store platform.Store) *Carrier {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Carrier{
+		store:  store,
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	d.Probe = func(address string, probe wire.Probe, done func(wire.ProbeReply, error)) {
+		timeout := _directTimeout
+		if probe.Target != "" {
+			timeout = _indirectTimeout
+		}
+		peer.Go(pool, timeout, address, _probeMethod, probe, done)
+	}
+	d.ReadList = c.readList
+
+	return c
+}
+
+// Close waits for the calls on the store; it ends a waiting watch.
+func (c *Carrier) Close() {
+	c.mu.Lock()
+	c.cancel()
+	c.mu.Unlock()
+	c.wg.Wait()
+}
+
+func (c *Carrier) readList(after int, done func(wire.ObjectList, error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, _listTimeout)
+		defer cancel()
+		if after == 0 {
+			done(c.store.List(ctx, KindMember))
+
+			return
+		}
+		done(c.store.Watch(ctx, KindMember, after))
+	})
+}
--- a/wire/configuration.gen.go
+++ b/wire/configuration.gen.go
@@ -32,6 +32,11 @@
 // is the object that apply updates conditionally, so that a change of several
 // subtrees is atomic.
 type Head struct {
+	// Confirmer is the instance that last rewrote the head unchanged. Since the
+	// rewrite is conditional, it proves that the head was the newest, which a reading
+	// alone doesn't.
+	Confirmer Writer `json:"Confirmer"`
+
 	// Recent are the newest changes, newest last, this version's among them.
 	Recent []HeadChange `json:"Recent"`
 
@@ -94,6 +99,14 @@
 	// AgeMilliseconds is the time between the start of that reading and this reply.
 	AgeMilliseconds int `json:"AgeMilliseconds"`
 
+	// Confirmed is the newest version by a confirmation in the store; 0 means that
+	// none is known.
+	Confirmed int `json:"Confirmed"`
+
+	// ConfirmedAgeMilliseconds is the time between the start of the confirmation and
+	// this reply.
+	ConfirmedAgeMilliseconds int `json:"ConfirmedAgeMilliseconds"`
+
 	// Current is the version that a reading of the store has shown to be the newest;
 	// 0 means that no reading is known.
 	Current int `json:"Current"`
@@ -112,6 +125,9 @@
 	// Address is the sender's peer address.
 	Address string `json:"Address"`
 
+	// Confirm asks the receiver to confirm the head in the store, for a later reply.
+	Confirm bool `json:"Confirm"`
+
 	// Name is the sender's name.
 	Name string `json:"Name"`
 
--- a/wire/membership.gen.go
+++ b/wire/membership.gen.go
@@ -69,6 +69,9 @@
 	// Findings corresponds to the JSON schema field "Findings".
 	Findings []Finding `json:"Findings"`
 
+	// Introduce asks for introductions to all instances, by a sender that knows none.
+	Introduce bool `json:"Introduce"`
+
 	// Name is the sender's name.
 	Name string `json:"Name"`
 
@@ -88,6 +91,10 @@
 	// Incarnation is the probed instance's.
 	Incarnation int `json:"Incarnation"`
 
+	// Introductions describe all instances, if the probe asked for it; they are not
+	// passed on.
+	Introductions []Finding `json:"Introductions"`
+
 	// Name is the name of the probed instance.
 	Name string `json:"Name"`
 }
