quota: move tokens to where the calls are

Cause: with calls all at one instance 328 to 348 of 1,000 calls within the rate were refused, because a borrower's number of loans was bounded and a lender short of rate kept its tokens; after a move of the calls peers with tokens were not asked, being marked dry. Change: one loan for each lender and borrower, which grows and shrinks; a lender gives tokens above what it needs soon; recalls say how much; a peer is dry only if it gave next to nothing; the demand's average is right from its first calls.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -19,6 +19,8 @@
 	_maxLows = 32
 	// _demandWindow is the time constant of the demand's average.
 	_demandWindow = time.Second
+	// _minDemandTime is the time over which the first calls are averaged.
+	_minDemandTime = 100 * time.Millisecond
 	// _headroom is how much more than the demand an instance keeps.
 	_headroom = 1.25
 	// _largestDecay is applied to the largest request at each request.
@@ -358,15 +360,20 @@
 	b.largest = max(b.largest*_largestDecay, tokens)
 }
 
-// average is an exponentially decaying average of a flow.
+// average is an exponentially decaying average of a flow, over the time since
+// the flow began if that is shorter than the window.
 type average struct {
-	sum float64
-	at  int64
+	sum   float64
+	at    int64
+	since int64
 }
 
 func (a *average) add(now int64, amount float64) {
 	a.decay(now)
-	a.sum += amount
+	if a.sum < 1 {
+		a.since = now
+	}
+	a.sum = max(0, a.sum+amount)
 }
 
 func (a *average) decay(now int64) {
@@ -381,8 +388,9 @@
 	if a.sum < 1 {
 		return 0
 	}
+	seen := float64(now-a.since) + float64(_minDemandTime)
 
-	return a.sum / float64(_demandWindow)
+	return a.sum / float64(_demandWindow) / (1 - math.Exp(-seen/float64(_demandWindow)))
 }
 
 func keepSlices(all []slice, keep func(s slice) bool) []slice {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -20,7 +20,7 @@
 	_defaultEvidenceLife = 5 * time.Second
 	_callTimeout         = time.Second
 	// _askWait bounds how long a request waits for loans.
-	_askWait = 60 * time.Millisecond
+	_askWait = 100 * time.Millisecond
 	// _lendTick is the period in which buckets look ahead.
 	_lendTick = 20 * time.Millisecond
 	// _maxWaiters bounds the requests of a workspace that wait for loans.
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -18,14 +18,18 @@
 	_askPause    = 10 * time.Millisecond
 	_recallPause = 50 * time.Millisecond
 	// A peer that had nothing to lend is left alone for a while that doubles.
-	_minDry = 20 * time.Millisecond
-	_maxDry = 640 * time.Millisecond
+	_minDry = 10 * time.Millisecond
+	_maxDry = 320 * time.Millisecond
+	// _dryPart is the part of a want below which a peer had nothing.
+	_dryPart = 0.1
 	// _membersPerDry is the number of members over which _maxDry grows.
 	_membersPerDry = 60
 	// _unmetMemory is how long an asker that got too little counts.
 	_unmetMemory = time.Second
 	// _lowWater is the demand that the level should cover.
 	_lowWater = 300 * time.Millisecond
+	// _keepTime is the demand whose tokens a lender keeps.
+	_keepTime = 150 * time.Millisecond
 	// _minLoanPart and _minLoanLife bound the smallest loan.
 	_minLoanPart = 0.002
 	_minLoanLife = 20 * time.Millisecond
@@ -83,7 +87,12 @@
 		return
 	}
 	b.askAfter = now + int64(_askPause)
-	b.recall(now, "", asks)
+	want := wire.QuotaWant{
+		Workspace:           b.workspace,
+		Tokens:              max(0, tokens),
+		RateTokensPerSecond: max(0, rate) * float64(time.Second),
+	}
+	b.recall(now, "", want, asks)
 	var able []*lender
 	for _, home := range b.homes {
 		if home.dryUntil <= now {
@@ -92,14 +101,17 @@
 	}
 	for _, home := range able {
 		ask := asks.to(home.instance)
-		ask.Wants = append(ask.Wants, wire.QuotaWant{
-			Workspace:           b.workspace,
-			Tokens:              tokens / float64(len(able)),
-			RateTokensPerSecond: rate * float64(time.Second) / float64(len(able)),
-		})
+		ask.Wants = append(ask.Wants, partOf(want, 1/float64(len(able))))
 	}
 }
 
+func partOf(want wire.QuotaWant, part float64) wire.QuotaWant {
+	want.Tokens *= part
+	want.RateTokensPerSecond *= part
+
+	return want
+}
+
 // shortage is what the bucket should get of peers, in tokens and in tokens a
 // nanosecond; not positive if it has enough.
 func (b *bucket) shortage(now int64) (tokens, rate float64) {
@@ -166,19 +178,17 @@
 	return part
 }
 
-// recall asks the borrowers, except one, to return what they can spare.
-func (b *bucket) recall(now int64, except string, asks *askBatch) {
+// recall asks the borrowers, except one, to return what they can spare of a
+// want.
+func (b *bucket) recall(now int64, except string, want wire.QuotaWant, asks *askBatch) {
 	if now < b.recallAfter || len(b.lent) == 0 {
 		return
 	}
 	b.recallAfter = now + int64(_recallPause)
 	for _, s := range b.lent {
-		if s.peer == except {
-			continue
-		}
-		ask := asks.to(s.peer)
-		if !slices.Contains(ask.Recall, b.workspace) {
-			ask.Recall = append(ask.Recall, b.workspace)
+		if s.peer != except {
+			ask := asks.to(s.peer)
+			ask.Recall = append(ask.Recall, partOf(want, 1/float64(len(b.lent))))
 		}
 	}
 }
@@ -199,9 +209,9 @@
 			}
 		})
 	}
-	for _, workspace := range ask.Recall {
-		l.withBucket(buckets[workspace], func(b *bucket, now int64) {
-			b.yield(ask.From, now, func(_ string, ref wire.QuotaLoanRef) { answer.Returns = append(answer.Returns, ref) })
+	for _, want := range ask.Recall {
+		l.withBucket(buckets[want.Workspace], func(b *bucket, now int64) {
+			b.yield(ask.From, want, now, func(_ string, ref wire.QuotaLoanRef) { answer.Returns = append(answer.Returns, ref) })
 		})
 	}
 	for _, want := range ask.Wants {
@@ -231,11 +241,12 @@
 // lend debits a loan and returns it; none if the bucket has nothing to spare.
 func (l *Ledger) lend(b *bucket, want wire.QuotaWant, borrower string, now int64, recalls *askBatch) []wire.QuotaLoan {
 	life := l.loanLife(now)
-	needed := b.partFor(want)
-	part := min(needed, b.spare(now)*b.fairPart(borrower, now))
-	if part < needed {
+	size, rate := b.own()
+	fair := b.fairPart(borrower, now)
+	part := b.spare(partOf(want, 1/fair), rate, now) * fair
+	if size <= 0 || part*b.level < want.Tokens/2 || part*rate*float64(time.Second) < want.RateTokensPerSecond/2 {
 		b.unmet[borrower] = now
-		b.recall(now, borrower, recalls)
+		b.recall(now, borrower, want, recalls)
 	} else {
 		delete(b.unmet, borrower)
 	}
@@ -267,34 +278,28 @@
 	}}
 }
 
-// partFor is the part of what is left of the base share that meets a want.
-func (b *bucket) partFor(want wire.QuotaWant) float64 {
-	_, rate := b.own()
-	if rate <= 0 {
-		return 1
+// spare is the part of the bucket that meets a want, as far as this instance
+// doesn't need it for its own calls. A part of the bucket is as much of its
+// tokens as of its size, and of a refill of rate.
+func (b *bucket) spare(want wire.QuotaWant, rate float64, now int64) float64 {
+	if len(b.waiters) > 0 || b.size <= 0 {
+		return 0
 	}
-	part := want.RateTokensPerSecond / float64(time.Second) / rate
+	need := b.need(now)
+	wantedTokens, wantedRate := 0.0, 0.0
 	if want.Tokens > 0 && b.level > 1 {
-		part = max(part, want.Tokens/b.level)
+		wantedTokens = want.Tokens / b.level
 	}
-
-	return min(1, part)
-}
-
-// spare is the part of what is left of the base share that this instance
-// doesn't need for its own calls.
-func (b *bucket) spare(now int64) float64 {
-	_, rate := b.own()
-	if rate <= 0 || len(b.waiters) > 0 {
-		return 0
+	if want.RateTokensPerSecond > 0 && rate > 0 {
+		wantedRate = want.RateTokensPerSecond / float64(time.Second) / rate
 	}
-	need := b.need(now)
 	if need <= 0 {
-		return 1
+		return min(1, max(wantedTokens, wantedRate))
 	}
-	keep := max(need/rate, b.largest/max(b.level, 1))
+	spareTokens := max(0, 1-max(b.largest, need*float64(_keepTime))/max(b.level, 1))
+	spareRate := max(0, 1-need/max(rate, _smallest))
 
-	return max(0, 1-keep)
+	return min(spareTokens, max(wantedTokens, min(wantedRate, spareRate)))
 }
 
 // fairPart leaves something for the other askers that got too little lately.
@@ -334,18 +339,23 @@
 	return true
 }
 
-// yield gives back what this instance doesn't need of the loans of a lender.
-func (b *bucket) yield(lender string, now int64, give func(lender string, ref wire.QuotaLoanRef)) {
-	if len(b.waiters) > 0 {
+// yield gives back what a lender wants of its loan and this instance can
+// spare; all of it when no calls come here.
+func (b *bucket) yield(lender string, want wire.QuotaWant, now int64, give func(lender string, ref wire.QuotaLoanRef)) {
+	part := b.spare(want, b.rate, now)
+	if b.need(now) <= 0 && len(b.waiters) == 0 {
+		part = 1
+	}
+	if part < _minLoanPart {
 		return
 	}
-	surplus := b.rate - b.need(now)
+	size := b.size
 	b.giveBack(func(s slice) float64 {
 		if s.peer != lender {
 			return 0
 		}
 
-		return surplusPart(&surplus, s)
+		return min(1, part*size/max(s.size, _smallest))
 	}, give)
 }
 
@@ -389,7 +399,7 @@
 			size:  loan.BurstTokens,
 			until: until,
 		}, loan.New, loan.Tokens)
-		met = met || loan.Tokens >= want.Tokens/2 && loan.RateTokensPerSecond >= want.RateTokensPerSecond/2
+		met = met || loan.Tokens >= want.Tokens*_dryPart || loan.RateTokensPerSecond >= want.RateTokensPerSecond*_dryPart
 	}
 	if met {
 		b.markAble(peer)
--- a/quota/liveness_test.go
+++ b/quota/liveness_test.go
@@ -5,6 +5,10 @@
 	"os"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"papayastair.dev/papayastair/history"
 )
 
 // load is a pattern of calls within or over the rate.
@@ -32,9 +36,11 @@
 	splitWrongful int
 }
 
-func (r result) String() string {
-	perThousand := func(wrongful, admitted int) float64 { return 1000 * float64(wrongful) / float64(wrongful+admitted) }
+func perThousand(wrongful, admitted int) float64 {
+	return 1000 * float64(wrongful) / float64(wrongful+admitted)
+}
 
+func (r result) String() string {
 	return fmt.Sprintf("%d calls, %d admitted, wrongful per thousand %.2f; static split %d admitted, %.1f",
 		r.calls, r.admitted, perThousand(r.wrongful, r.admitted), r.splitAdmitted, perThousand(r.splitWrongful, r.splitAdmitted))
 }
@@ -220,6 +226,36 @@
 	}
 }
 
+// TestFewRefusalsWithinTheRate holds the aims of issue 4 at 0.9 of the rate.
+func TestFewRefusalsWithinTheRate(t *testing.T) {
+	t.Parallel()
+	for _, pattern := range []string{"even", "one"} {
+		for _, outage := range []bool{false, true} {
+			ld := load{
+				times:   0.9,
+				pattern: pattern,
+				outage:  outage,
+			}
+			r, w := measure(2, unequalSizes(), largeLimit(), ld, 30*time.Second)
+			aim := 1.0
+			if outage {
+				aim = 10
+			}
+			t.Logf("%s outage %v: %v", pattern, outage, r)
+			if perThousand(r.wrongful, r.admitted) >= aim {
+				t.Errorf("%s outage %v: wrongful refusals over %v per thousand: %v", pattern, outage, aim, r)
+			}
+			if diff := cmp.Diff([]history.Violation(nil), w.check()); diff != "" {
+				t.Errorf("windows over rate and burst (-want +got):\n%s", diff)
+			}
+		}
+	}
+}
+
+func unequalSizes() []int {
+	return []int{1, 1, 2, 2, 3, 4}
+}
+
 // TestMeasureRefusals prints the table of docs/quota.md with
 // PAPAYASTAIR_MEASURE=1.
 func TestMeasureRefusals(t *testing.T) {
@@ -242,7 +278,7 @@
 		}
 	}
 	for _, ld := range loads {
-		r, w := measure(1, []int{1, 1, 2, 2, 3, 4}, largeLimit(), ld, time.Minute)
+		r, w := measure(1, unequalSizes(), largeLimit(), ld, time.Minute)
 		t.Logf("%.1f %-6s bursty %-5v outage %-5v %v excess %v", ld.times, ld.pattern, ld.bursty, ld.outage, r, w.check())
 	}
 }
--- a/wire/quota.gen.go
+++ b/wire/quota.gen.go
@@ -55,9 +55,9 @@
 	// Incarnation is the asking instance's.
 	Incarnation int `json:"Incarnation"`
 
-	// Recall are workspaces of which the asker would like its loans back, as far as
-	// the receiver can spare them.
-	Recall []string `json:"Recall"`
+	// Recall is what the asker would like back of its loans, as far as the receiver
+	// can spare it.
+	Recall []QuotaWant `json:"Recall"`
 
 	// Returns are loans of the receiver that the asker has given up.
 	Returns []QuotaLoanRef `json:"Returns"`
