Run non-idempotent calls at most once, with group commit

Cause: nothing kept a caller's repeat from being a second run. Change: package attempt keeps a record of each call in the store before the call leaves and adds the answer afterwards. Records of many calls share a shard's object and one conditional write; older ones move into segments that never change and that the shard names. A shard is plain decisions; a writer carries its steps. After a lost reply the shard is read again, and a write on the same version decides; a begin that is given up releases its record; a ticket may be used for SendTimeout only.

--- /dev/null
+++ b/attempt/book.go
@@ -0,0 +1,357 @@
+// Package attempt runs non-idempotent calls at most once. A Book keeps a
+// record of each call in the platform's store, created before the call leaves
+// and completed with the answer. A repeat with the same workspace and
+// idempotency key, at any instance within the record's life, gets the saved
+// answer, or KindUnknown, and is never a second run.
+//
+// Use Do, which takes the steps in the right order:
+//
+//	outcome := book.Do(ctx, call, func(ctx context.Context) service.Outcome {
+//		return services.Do(ctx, serviceCall)
+//	})
+//
+// Records of many calls share one object of the store, a shard, and one
+// conditional write. The store's version alone makes this safe; any instance
+// may write any shard. Older records of a shard move into segments, objects
+// that never change and that the shard names.
+package attempt
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sourcegraph/conc"
+
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/ring"
+	"papayastair.dev/papayastair/service"
+	"papayastair.dev/papayastair/timer"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	_ringSize     = 1024
+	_storeTimeout = 2 * time.Second
+	_closeTimeout = 5 * time.Second
+)
+
+// Config is what a Book is made of. Zero values of the fields from Shards on
+// stand for the defaults named there.
+type Config struct {
+	// Instance and Incarnation name this start of a process; together they
+	// are unique.
+	Instance    string
+	Incarnation int
+	// Timer is the clock.
+	Timer *timer.Service
+	// Store is the way to the records.
+	Store platform.Store
+	// Log takes the events.
+	Log *event.Log
+	// NewBackoff returns the waits between tries; nil means those of package
+	// platform.
+	NewBackoff func() *backoff.ExponentialBackOff
+
+	// Shards is the number of objects that records are spread over. It must
+	// be the same at all instances and never change. Default 64.
+	Shards int
+	// Life is how long a record is kept, and so how long a repeat is never a
+	// second run. Default 24 h.
+	Life time.Duration
+	// MaxClockDifference is the largest difference between the clocks of two
+	// instances; records are kept so much longer. Default 5 min.
+	MaxClockDifference time.Duration
+	// BeginTimeout is how long a call waits for its record. Default 1 s.
+	BeginTimeout time.Duration
+	// SendTimeout is how long after its beginning a call may still leave. A
+	// process that was paused for longer gives the call up. It must be far
+	// below Life. Default 30 s.
+	SendTimeout time.Duration
+	// AnswerWait is how long a record without an answer stays where one can
+	// be added. Default 10 min.
+	AnswerWait time.Duration
+	// BeginWindow and FinishWindow are how long new records and answers wait
+	// for others to share a write. Defaults 0 and 100 ms; while a write is on
+	// its way, all wait for the next.
+	BeginWindow  time.Duration
+	FinishWindow time.Duration
+	// MaxAnswerBytes is the largest body that is saved. Default 32 KiB.
+	MaxAnswerBytes int
+	// SpillBytes is the size of a shard from which older records move into a
+	// segment. Default 128 KiB.
+	SpillBytes int
+
+	unsafe unsafeConfig
+}
+
+// unsafeConfig switches guards off, for tests that show what they are for.
+type unsafeConfig struct {
+	// sendBeforeRecord lets calls leave before their record is stored.
+	sendBeforeRecord bool
+	// blindRetry repeats a write of unknown outcome and takes a conflict for
+	// its success.
+	blindRetry bool
+	// removeEarly removes records long before the end of their life.
+	removeEarly bool
+	// sendLate lets calls leave however long ago they began.
+	sendLate bool
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.NewBackoff == nil {
+		cfg.NewBackoff = platform.NewBackoff
+	}
+	orDefault(&cfg.Shards, 64)
+	orDefault(&cfg.Life, 24*time.Hour)
+	orDefault(&cfg.MaxClockDifference, 5*time.Minute)
+	orDefault(&cfg.BeginTimeout, time.Second)
+	orDefault(&cfg.SendTimeout, 30*time.Second)
+	orDefault(&cfg.AnswerWait, 10*time.Minute)
+	orDefault(&cfg.FinishWindow, 100*time.Millisecond)
+	orDefault(&cfg.MaxAnswerBytes, 32<<10)
+	orDefault(&cfg.SpillBytes, 128<<10)
+
+	return cfg
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Book keeps the records of non-idempotent calls. Use New. It is safe for
+// concurrent use.
+type Book struct {
+	cfg     Config
+	writers []*writer
+	last    atomic.Int64
+	wg      conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	closing chan struct{}
+	closed  atomic.Bool
+}
+
+// New starts a book with one goroutine for each shard.
+func New(cfg Config) *Book {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Book{
+		cfg:     cfg.withDefaults(),
+		ctx:     ctx,
+		cancel:  cancel,
+		closing: make(chan struct{}),
+	}
+	for i := range b.cfg.Shards {
+		w := &writer{
+			cfg:        &b.cfg,
+			shard:      newShard(&b.cfg, fmt.Sprintf("shard-%d", i)),
+			operations: ring.New[*operation](_ringSize),
+			wake:       make(chan struct{}, 1),
+			closing:    b.closing,
+		}
+		b.writers = append(b.writers, w)
+		b.wg.Go(func() { w.run(ctx) })
+	}
+
+	return b
+}
+
+// Close refuses new calls, saves the answers that wait, for at most 5 s, and
+// waits for the goroutines.
+func (b *Book) Close() {
+	if b.closed.Swap(true) {
+		b.wg.Wait()
+
+		return
+	}
+	stop := b.cfg.Timer.After(_closeTimeout, func(time.Time) { b.cancel() })
+	close(b.closing)
+	b.wg.Wait()
+	stop.Stop()
+	b.cancel()
+}
+
+// Do runs a call at most once: it creates the record, lets send run the call,
+// and saves the answer. The outcome is KindDone with a new answer, and never
+// KindRun. The answer is given out without waiting until it is saved.
+func (b *Book) Do(ctx context.Context, call Call, send func(ctx context.Context) service.Outcome) Outcome {
+	outcome := b.Begin(ctx, call)
+	if outcome.Kind != KindRun {
+		return outcome
+	}
+	ticket := outcome.Ticket
+	if !ticket.MaySend() {
+		ticket.NotSent(ctx)
+
+		return notRun("the process was paused before the call left")
+	}
+	result := send(ctx)
+	switch result.Kind {
+	case service.KindDone:
+		answer := Answer{
+			Status:   result.Status,
+			Headers:  result.Headers,
+			Body:     result.Body,
+			BodyKept: true,
+		}
+		ticket.Finish(answer)
+
+		return Outcome{
+			Kind:   KindDone,
+			Answer: answer,
+		}
+	case service.KindNotRun:
+		ticket.NotSent(ctx)
+
+		return notRun(result.Reason)
+	case service.KindUnknown:
+	}
+
+	return unknown(result.Reason)
+}
+
+// Begin creates the record of a call, or finds that of an earlier one with
+// the same key. With KindRun the caller must use the outcome's ticket. Begin
+// returns within BeginTimeout, or earlier when ctx ends.
+func (b *Book) Begin(ctx context.Context, call Call) Outcome {
+	if b.closed.Load() {
+		return notRun("the instance stops")
+	}
+	o, done := b.newBegin(call)
+	ticket := &Ticket{
+		book:   b,
+		record: o.record,
+		sendBy: o.arrived.Add(b.cfg.SendTimeout),
+	}
+	if !b.writer(o.record.Key).operations.TryPush(o) {
+		return notRun("too many calls wait for their records")
+	}
+	late := b.cfg.Timer.After(b.cfg.BeginTimeout, func(time.Time) {
+		o.result.settle(notRun("the store did not answer in time; an earlier call with the key may have run"))
+	})
+	defer late.Stop()
+	select {
+	case <-ctx.Done():
+		o.result.settle(notRun(ctx.Err().Error()))
+	case <-b.ctx.Done():
+		o.result.settle(notRun("the instance stops"))
+	case outcome := <-done:
+		return ticket.with(outcome)
+	}
+
+	return ticket.with(<-done)
+}
+
+func (b *Book) newBegin(call Call) (*operation, <-chan Outcome) {
+	now := b.cfg.Timer.Now()
+	done := make(chan Outcome, 1)
+
+	return &operation{
+		kind: operationBegin,
+		record: wire.AttemptRecord{
+			Key:                     call.recordKey(),
+			BodyHash:                call.BodyHash,
+			Attempt:                 fmt.Sprintf("%s.%d.%d", b.cfg.Instance, b.cfg.Incarnation, b.last.Add(1)),
+			ExpiresUnixMilliseconds: int(now.Add(b.cfg.Life).UnixMilli()),
+		},
+		arrived:  now,
+		deadline: now.Add(b.cfg.BeginTimeout),
+		result:   &result{deliver: func(outcome Outcome) { done <- outcome }},
+	}, done
+}
+
+// writer is the one that writes the shard of a key.
+func (b *Book) writer(key string) *writer {
+	return b.writers[keyNumber(key)%uint64(len(b.writers))]
+}
+
+// Ticket is the right to run one call once.
+type Ticket struct {
+	book   *Book
+	record wire.AttemptRecord
+	sendBy time.Time
+	used   atomic.Bool
+}
+
+// with adds the ticket to an outcome of KindRun.
+func (t *Ticket) with(outcome Outcome) Outcome {
+	if outcome.Kind == KindRun {
+		outcome.Ticket = t
+	}
+
+	return outcome
+}
+
+// MaySend says whether the call may still leave. It must be asked right
+// before the call leaves; a process may have been paused since Begin.
+func (t *Ticket) MaySend() bool {
+	return t.book.cfg.unsafe.sendLate || !t.book.cfg.Timer.Now().After(t.sendBy)
+}
+
+// Finish saves the answer of the call, in the background. A ticket that is
+// neither finished nor given back leaves the outcome KindUnknown for repeats.
+func (t *Ticket) Finish(answer Answer) {
+	record := t.record
+	record.Answer = answer.stored(t.book.cfg.MaxAnswerBytes)
+	t.end(context.Background(), operationFinish, record, func(Outcome) {})
+}
+
+// NotSent gives the ticket back: the call has not left and never will. It
+// waits until the record is removed, so that a repeat may run, but not past
+// BeginTimeout or the end of ctx.
+func (t *Ticket) NotSent(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, t.book.cfg.BeginTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	if !t.end(ctx, operationRelease, t.record, func(Outcome) { close(done) }) {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// end hands the last operation of a ticket to the writer.
+func (t *Ticket) end(ctx context.Context, kind operationKind, record wire.AttemptRecord, deliver func(Outcome)) bool {
+	if t.used.Swap(true) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, _closeTimeout)
+	defer cancel()
+
+	return t.book.writer(record.Key).operations.Push(ctx, &operation{
+		kind:    kind,
+		record:  record,
+		arrived: t.book.cfg.Timer.Now(),
+		result:  &result{deliver: deliver},
+	})
+}
+
+// result delivers the outcome of an operation once. A nil deliver drops it.
+type result struct {
+	done    atomic.Bool
+	deliver func(Outcome)
+}
+
+// settle delivers an outcome and reports true, unless there was one before.
+func (r *result) settle(outcome Outcome) bool {
+	if !r.done.CompareAndSwap(false, true) {
+		return false
+	}
+	if r.deliver != nil {
+		r.deliver(outcome)
+	}
+
+	return true
+}
+
+func (r *result) isSettled() bool {
+	return r.done.Load()
+}
