--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,7 +20,7 @@
 	_defaultOutputTokens    = 256
 	_maxOutputTokens        = 1 << 20
 	_bytesPerToken          = 3
-	_prefixBlockBytes       = 512
+	_prefixBlockBytes       = 256
 	_maxPrefixBlocks        = 32
 	_maxRequestIDBytes      = 64
 	_defaultResponseTimeout = 60 * time.Second
@@ -193,10 +193,7 @@
 	}
 	var text []byte
 	for _, message := range value.GetArray("messages") {
-		text = append(text, message.GetStringBytes("role")...)
-		text = append(text, 0)
 		text = append(text, message.GetStringBytes("content")...)
-		text = append(text, 0)
 	}
 
 	return text
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -71,6 +71,11 @@
 	m.wg.Wait()
 }
 
+// IsPlanner reports whether this instance is the one to plan.
+func (m *Manager) IsPlanner() bool {
+	return Preferred(_planKey, m.Members()) == m.Name
+}
+
 // Step plans once if this instance is the one to plan, and carries out the
 // steps. A step that fails is planned again.
 func (m *Manager) Step(ctx context.Context, now time.Time) {
@@ -84,7 +89,7 @@
 		Demand:   m.Demand(),
 		Now:      now,
 	}
-	if Preferred(_planKey, m.Members()) != m.Name {
+	if !m.IsPlanner() {
 		m.Planner.Observe(in)
 
 		return
