--- /dev/null
+++ b/event/admission.go
@@ -0,0 +1,8 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Kinds of admission: 2200 to 2299.
+var (
+	RequestNotRun = declare(2200, "RequestNotRun", zapcore.InfoLevel, "A request left the queue without running, with the reason and when to come back.")
+)
