--- a/order/guard_test.go
+++ b/order/guard_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
 
 	"papayastair.dev/papayastair/placement"
+	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -95,8 +99,8 @@
 		new:    w.instances[1],
 		engine: w.engines[0],
 	}
-	h.old.order.Members = func() []string { return []string{"instance-0"} }
-	h.new.order.Members = func() []string { return []string{"instance-1"} }
+	h.old.order.Members = func() []wire.Member { return []wire.Member{h.old.member()} }
+	h.new.order.Members = func() []wire.Member { return []wire.Member{h.new.member()} }
 
 	return h
 }
@@ -240,3 +244,134 @@
 		})
 	}
 }
+
+// TestAdapters asks for more adapters than fit beside a model: they come one
+// after another, idle ones make room, and memory is never overcommitted.
+func TestAdapters(t *testing.T) {
+	h := newHandover(t, Guards{}, false)
+	h.fleet.Adapters = nil
+	for _, name := range []string{"x", "y", "z"} {
+		h.fleet.Adapters = append(h.fleet.Adapters, wire.Adapter{
+			Name:        name,
+			Model:       "model-00",
+			Version:     "1",
+			MemoryBytes: 18,
+		})
+	}
+	h.want("model-00", wire.CopyStateLoading)
+	h.work(h.old, 20*time.Second)
+	serves := func() string {
+		got := ""
+		for _, a := range h.fleet.Adapters {
+			if h.engine.at.Serves("model-00", a.Name, "", h.timer.Now()) {
+				got += a.Name
+			}
+		}
+
+		return got
+	}
+	steps := []struct {
+		adapter string
+		after   time.Duration
+		want    string
+	}{
+		{
+			adapter: "x",
+			after:   2 * time.Second,
+			want:    "x",
+		},
+		{
+			adapter: "y",
+			after:   40 * time.Second,
+			want:    "xy",
+		},
+		{
+			adapter: "z",
+			after:   10 * time.Second,
+			want:    "xy",
+		},
+		{
+			adapter: "y",
+			after:   30 * time.Second,
+			want:    "yz",
+		},
+	}
+	for _, step := range steps {
+		if !h.old.order.RequestAdapter("engine-0", step.adapter) {
+			t.Fatal("the holder did not take the request")
+		}
+		h.work(h.old, step.after)
+		if diff := cmp.Diff(step.want, serves()); diff != "" {
+			t.Errorf("adapters after a request for %s (-want +got):\n%s", step.adapter, diff)
+		}
+	}
+	if diff := cmp.Diff(0, h.engine.at.OvercommittedBytes()); diff != "" {
+		t.Errorf("overcommitted bytes (-want +got):\n%s", diff)
+	}
+}
+
+// TestStartAndClose runs a manager in real time until its copy serves, and
+// checks that Close hands the lease over.
+func TestStartAndClose(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	h := newHandover(t, Guards{}, true)
+	clock := timer.New()
+	defer clock.Close()
+	h.timer = clock
+	h.old.start()
+	h.old.order.Members = func() []wire.Member { return []wire.Member{h.old.member()} }
+	h.old.order.Options.Concurrency = 4
+	h.want("model-00", wire.CopyStateLoading)
+	h.old.placement.Start()
+	h.old.order.Start()
+	for !h.engine.at.Serves("model-00", "", "", clock.Now()) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	h.old.placement.Close()
+	h.old.order.Close()
+	object, err := h.store.Platform().Get(context.Background(), _kind, "engine-0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lease wire.OrderLease
+	if err := json.Unmarshal([]byte(object.Value), &lease); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("", lease.Holder); diff != "" {
+		t.Errorf("holder after Close (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkStoreCalls counts the store's calls of orders and placement at
+// rest and for each load, at four sizes.
+func BenchmarkStoreCalls(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48} {
+		b.Run(fmt.Sprintf("Instances%d", n), func(b *testing.B) {
+			for range b.N {
+				w := newWorld(shape{
+					servers:       n * 2,
+					instances:     n,
+					models:        n * 2,
+					minBytes:      20,
+					maxBytes:      45,
+					checksFencing: func(int) bool { return true },
+				}, 1)
+				for range 300 {
+					w.step()
+				}
+				loads := 0
+				for _, e := range w.engines {
+					loads += e.at.Loads()
+				}
+				began := w.store.Calls()
+				for range 300 {
+					w.step()
+				}
+				ended := w.store.Calls()
+				b.ReportMetric(float64(began["put"])/float64(loads), "puts/load")
+				b.ReportMetric(float64(ended["put"]-began["put"])/300, "puts/s-at-rest")
+				b.ReportMetric(float64(ended["get"]-began["get"])/300/float64(2*n), "gets/s/server-at-rest")
+			}
+		})
+	}
+}
--- a/order/lease.go
+++ b/order/lease.go
@@ -49,7 +49,7 @@
 // turn is what one step goes by.
 type turn struct {
 	fleet     placement.Fleet
-	members   []string
+	members   []wire.Member
 	preferred bool
 	now       time.Time
 }
@@ -88,14 +88,13 @@
 
 		return
 	}
-	own := lease.HolderID == s.ID
-	if !own && lease.Holder != s.Name && slices.Contains(t.members, lease.Holder) {
+	if lease.Holder != s.Name && holderLives(lease, t.members) {
 		s.nextTry = t.now.Add(s.Options.RecheckPeriod)
 
 		return
 	}
 	lease.Holder = s.Name
-	lease.HolderID = s.ID
+	lease.HolderIncarnation = s.Incarnation
 	s.version = version
 	if !s.put(ctx, lease) {
 		return
@@ -114,6 +113,14 @@
 		zap.Int("Fence", s.fence), zap.Int("OrdersInDoubt", len(lease.Intents)))
 }
 
+// holderLives reports whether the holder is a member. One that has started
+// again since it took the lease knows nothing of it.
+func holderLives(lease wire.OrderLease, members []wire.Member) bool {
+	return slices.ContainsFunc(members, func(m wire.Member) bool {
+		return m.Name == lease.Holder && m.Incarnation <= lease.HolderIncarnation
+	})
+}
+
 // release hands the lease over to whoever takes it first.
 func (s *server) release(ctx context.Context) {
 	if s.unread && !s.reread(ctx) {
@@ -136,9 +143,9 @@
 	}
 
 	return s.put(ctx, wire.OrderLease{
-		Holder:   s.Name,
-		HolderID: s.ID,
-		Intents:  s.ledger.intents(),
+		Holder:            s.Name,
+		HolderIncarnation: s.Incarnation,
+		Intents:           s.ledger.intents(),
 	})
 }
 
@@ -151,7 +158,7 @@
 
 		return false
 	}
-	if lease.HolderID != s.ID {
+	if lease.Holder != s.Name || lease.HolderIncarnation != s.Incarnation {
 		s.lose(lease.Holder)
 
 		return false
@@ -184,7 +191,7 @@
 // certain.
 func (s *server) put(ctx context.Context, lease wire.OrderLease) bool {
 	s.sequence++
-	lease.WriterID = s.ID
+	lease.WriterID = s.id()
 	lease.WriterSequence = s.sequence
 	lease.Server = s.settings.Name
 	value, err := json.Marshal(lease)
--- a/order/manager.go
+++ b/order/manager.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
@@ -65,17 +63,19 @@
 // leases it holds. Set the fields, then either call Start and Close, or Step
 // from a test.
 type Manager struct {
-	// Name is the instance's name, ID is unique for each start of it.
-	Name    string
-	ID      string
-	Store   platform.Store
-	Catalog *placement.Catalog
+	// Name is the instance's name.
+	Name string
+	// Incarnation rises with each start of the instance, in Unix
+	// milliseconds; Members must show it too.
+	Incarnation int
+	Store       platform.Store
+	Catalog     *placement.Catalog
 	// Send sends an order once. An error means that the outcome is unknown.
 	Send func(ctx context.Context, server string, order wire.Order) (wire.OrderResult, error)
 	// Report asks a backend server for its load report.
 	Report func(ctx context.Context, server string) (wire.LoadReport, error)
-	// Members returns the names of the live instances, this one included.
-	Members func() []string
+	// Members returns the live instances, this one included.
+	Members func() []wire.Member
 	// Fleet returns the settings in force.
 	Fleet   func() placement.Fleet
 	Timer   *timer.Service
@@ -131,7 +131,7 @@
 	m.setDefaults()
 	fleet := m.Fleet()
 	members := m.Members()
-	preferred := rendezvous.New(members, xxhash.Sum64String)
+	ranking := placement.Ranking(members)
 	work := pool.New().WithMaxGoroutines(m.Options.Concurrency)
 	present := map[string]bool{}
 	for _, settings := range fleet.Servers {
@@ -142,7 +142,7 @@
 		turn := turn{
 			fleet:     fleet,
 			members:   members,
-			preferred: preferred.Lookup(settings.Name) == m.Name,
+			preferred: ranking.Lookup(settings.Name) == m.Name,
 			now:       now,
 		}
 		s := m.server(settings, turn.preferred)
@@ -267,6 +267,11 @@
 	return maps.Clone(m.adapters[server])
 }
 
+// id is unique for each start of the instance.
+func (m *Manager) id() string {
+	return fmt.Sprintf("%s.%d", m.Name, m.Incarnation)
+}
+
 func (m *Manager) newOrderID() string {
-	return fmt.Sprintf("%s-%d", m.ID, m.orders.Add(1))
+	return fmt.Sprintf("%s.%d", m.id(), m.orders.Add(1))
 }
--- a/order/schedule_test.go
+++ b/order/schedule_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,12 +40,17 @@
 	maxBytes int
 	// ignoresMemory makes the engines begin loads that don't fit.
 	ignoresMemory bool
+	// servers and instances are 6 and 3 unless set.
+	servers       int
+	instances     int
 	checksFencing func(server int) bool
 	length        time.Duration
 	guards        Guards
 	planning      placement.Options
-	// deaths of servers come one at a time, with time to recover.
-	deaths bool
+	// deaths of servers come one at a time, with time to recover; the first
+	// is before the store's outage, or during it.
+	deaths        bool
+	deathInOutage bool
 	// faults are the chances of failures in thousandths.
 	faults faults
 }
@@ -63,6 +69,7 @@
 	AfterLoss     int
 	Evicted       int
 	Loads         int
+	Adapters      int
 	Lost          int
 	Late          int
 	Doubled       int
@@ -134,7 +141,7 @@
 		lost:    map[string]time.Time{},
 	}
 	weights := standin.NewWeightStore()
-	for i := range 6 {
+	for i := range cmp.Or(sh.servers, 6) {
 		settings := wire.BackendServer{
 			Name:            fmt.Sprintf("engine-%d", i),
 			Kind:            wire.BackendServerKindEngine,
@@ -170,8 +177,14 @@
 			Priority:    []wire.Priority{wire.PriorityUrgent, wire.PriorityLive, wire.PriorityBatch}[i%3],
 		})
 		w.demand[name] = 100
+		w.fleet.Adapters = append(w.fleet.Adapters, wire.Adapter{
+			Name:        "adapter-of-" + name,
+			Model:       name,
+			Version:     "1",
+			MemoryBytes: 5 + w.rng.IntN(10),
+		})
 	}
-	for i := range 3 {
+	for i := range cmp.Or(sh.instances, 3) {
 		in := &instance{
 			world: w,
 			index: i,
@@ -214,29 +227,36 @@
 		Timer:    w.timer,
 	}
 	in.order = &Manager{
-		Name:    name,
-		ID:      id,
-		Store:   store,
-		Catalog: catalog,
-		Send:    in.send,
-		Report:  w.report,
-		Members: in.members,
-		Fleet:   fleet,
-		Timer:   w.timer,
-		Options: Options{Concurrency: 1},
-		Guards:  w.shape.guards,
+		Name:        name,
+		Incarnation: in.starts,
+		Store:       store,
+		Catalog:     catalog,
+		Send:        in.send,
+		Report:      w.report,
+		Members:     in.members,
+		Fleet:       fleet,
+		Timer:       w.timer,
+		Options:     Options{Concurrency: 1},
+		Guards:      w.shape.guards,
 	}
 }
 
-func (in *instance) members() []string {
-	var names []string
+func (in *instance) members() []wire.Member {
+	var members []wire.Member
 	for _, other := range in.world.instances {
 		if other == in || in.world.timer.Now().Sub(other.seen) < _memberLag {
-			names = append(names, fmt.Sprintf("instance-%d", other.index))
+			members = append(members, other.member())
 		}
 	}
 
-	return names
+	return members
+}
+
+func (in *instance) member() wire.Member {
+	return wire.Member{
+		Name:        in.order.Name,
+		Incarnation: in.order.Incarnation,
+	}
 }
 
 // put writes to the store; the reply may be lost, and the instance may be
@@ -450,6 +470,9 @@
 	end := w.timer.Now().Add(w.shape.length)
 	outage := w.timer.Now().Add(70 * time.Second)
 	death := w.timer.Now().Add(55 * time.Second)
+	if w.shape.deathInOutage {
+		death = outage.Add(10 * time.Second)
+	}
 	for w.timer.Now().Before(end) {
 		now := w.timer.Now()
 		if w.rng.IntN(15) == 0 {
@@ -461,12 +484,13 @@
 			w.fleet.Models = slices.Clone(w.fleet.Models)
 			w.fleet.Models[i].Version += "1"
 		}
+		w.requestAdapter()
 		if down := now.After(outage) && now.Before(outage.Add(40*time.Second)); down != w.storeDown {
 			w.storeDown = down
 			w.store.SetFaults(standin.StoreFaults{Down: down})
 			w.tally.Outages++
 		}
-		if w.shape.deaths && now.After(death) && !w.storeDown {
+		if w.shape.deaths && now.After(death) && (!w.storeDown || w.shape.deathInOutage) {
 			w.kill(now)
 			death = now.Add(_recovery)
 		}
@@ -484,6 +508,17 @@
 	return w.tally
 }
 
+// requestAdapter asks the holder of a random server for a random adapter.
+func (w *world) requestAdapter() {
+	adapter := w.fleet.Adapters[w.rng.IntN(len(w.fleet.Adapters))]
+	server := w.engines[w.rng.IntN(len(w.engines))].name
+	for _, in := range w.instances {
+		if in.order.RequestAdapter(server, adapter.Name) {
+			w.tally.Adapters++
+		}
+	}
+}
+
 // kill takes an engine away for a time, after which it comes up empty.
 func (w *world) kill(now time.Time) {
 	e := w.engines[w.rng.IntN(len(w.engines))]
@@ -514,46 +549,37 @@
 // TestSchedules runs seeded schedules and holds the engines' own accounts
 // against the two promises.
 func TestSchedules(t *testing.T) {
-	shapes := []shape{
-		{
-			name:          "room for two, engines that check fencing",
-			room:          true,
-			models:        8,
-			minBytes:      20,
-			maxBytes:      45,
-			checksFencing: func(int) bool { return true },
-			length:        240 * time.Second,
-			deaths:        true,
-			faults:        _faults,
-		},
-		{
-			name:          "tight, mixed engines",
-			models:        14,
-			minBytes:      30,
-			maxBytes:      60,
-			ignoresMemory: true,
-			checksFencing: func(server int) bool { return server%2 == 0 },
-			length:        240 * time.Second,
-			deaths:        true,
-			faults:        _faults,
-		},
-		{
-			name:          "tight, engines that ignore fencing",
-			models:        16,
-			minBytes:      25,
-			maxBytes:      60,
-			ignoresMemory: true,
-			checksFencing: func(int) bool { return false },
-			length:        240 * time.Second,
-			deaths:        true,
-			faults:        _faults,
-		},
-	}
-	for _, sh := range shapes {
+	room := shape{
+		name:          "room for two, engines that check fencing",
+		room:          true,
+		models:        8,
+		minBytes:      20,
+		maxBytes:      45,
+		checksFencing: func(int) bool { return true },
+		length:        240 * time.Second,
+		deaths:        true,
+		faults:        _faults,
+	}
+	died := room
+	died.name = "room for two, death during the outage"
+	died.deathInOutage = true
+	mixed := room
+	mixed.name = "tight, mixed engines"
+	mixed.room = false
+	mixed.models = 14
+	mixed.minBytes, mixed.maxBytes = 30, 60
+	mixed.ignoresMemory = true
+	mixed.checksFencing = func(server int) bool { return server%2 == 0 }
+	ignoring := mixed
+	ignoring.name = "tight, engines that ignore fencing"
+	ignoring.models = 16
+	ignoring.minBytes = 25
+	ignoring.checksFencing = func(int) bool { return false }
+	for _, sh := range []shape{room, died, mixed, ignoring} {
 		t.Run(sh.name, func(t *testing.T) {
 			t.Parallel()
 			var sum tally
-			for seed := range uint64(70) {
+			for seed := range uint64(60) {
 				got := newWorld(sh, seed).run()
 				if got.Overcommitted != 0 || got.Unreachable != 0 || (sh.room && got.AfterLoss != 0) {
 					t.Errorf("seed %d: %+v", seed, got)
@@ -571,6 +597,7 @@
 	s.AfterLoss += o.AfterLoss
 	s.Evicted += o.Evicted
 	s.Loads += o.Loads
+	s.Adapters += o.Adapters
 	s.Lost += o.Lost
 	s.Late += o.Late
 	s.Doubled += o.Doubled
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -50,6 +50,9 @@
 	copies    []*copyState
 	demand    float64
 	attained  float64
+	// servers counts the serving copies by backend server; nil when a copy
+	// has changed.
+	servers map[string]int
 }
 
 // copyState is one copy during planning.
@@ -61,6 +64,16 @@
 	weight float64
 }
 
+// spare is the capacity that the demand leaves, in tokens a second.
+func (a *accelerator) spare() float64 {
+	return a.capacity*_fullLoad - a.load
+}
+
+// meanCapacity is the mean capacity of an accelerator in tokens a second.
+func (x *index) meanCapacity() float64 {
+	return x.capacity / float64(max(1, len(x.accelerators)))
+}
+
 type acceleratorKey struct {
 	server string
 	name   string
@@ -74,6 +87,8 @@
 	byKey        map[acceleratorKey]*accelerator
 	// fullLoad is the part of an accelerator's capacity that may be used.
 	fullLoad float64
+	// capacity is that of all accelerators in tokens a second.
+	capacity float64
 }
 
 func newIndex(fleet Fleet, presence map[string]Presence, copies map[string][]wire.Copy) *index {
@@ -125,6 +140,7 @@
 				capacity: float64(s.TokensPerSecond) / float64(len(s.Accelerators)),
 			}
 			x.accelerators = append(x.accelerators, item)
+			x.capacity += item.capacity
 			x.byKey[acceleratorKey{server: s.Name, name: a.Name}] = item
 		}
 	}
@@ -139,6 +155,7 @@
 		at:    x.byKey[acceleratorKey{server: item.Server, name: item.Accelerator}],
 	}
 	m.copies = append(m.copies, c)
+	m.forgetServers()
 	if c.at != nil {
 		c.at.copies = append(c.at.copies, c)
 		if c.lasting() {
@@ -177,24 +194,36 @@
 // serversWithout is on how many backend servers the model serves without one
 // of its copies.
 func (m *model) serversWithout(c *copyState) int {
-	return m.distinct(c, func(o *copyState) string { return o.Server })
+	if m.servers == nil {
+		m.servers = make(map[string]int, len(m.copies))
+		for _, o := range m.copies {
+			if o.serving() {
+				m.servers[o.Server]++
+			}
+		}
+	}
+	if c.serving() && m.servers[c.Server] == 1 {
+		return len(m.servers) - 1
+	}
+
+	return len(m.servers)
+}
+
+func (m *model) forgetServers() {
+	m.servers = nil
 }
 
 // domainsWithout is in how many failure domains the model serves without one
 // of its copies.
 func (m *model) domainsWithout(c *copyState) int {
-	return m.distinct(c, func(o *copyState) string { return o.at.domain })
-}
-
-func (m *model) distinct(without *copyState, name func(*copyState) string) int {
-	names := map[string]bool{}
+	domains := map[string]bool{}
 	for _, o := range m.copies {
-		if o != without && o.serving() {
-			names[name(o)] = true
+		if o != c && o.serving() {
+			domains[o.at.domain] = true
 		}
 	}
 
-	return len(names)
+	return len(domains)
 }
 
 // footprint is the memory that planning sets aside for the copy.
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -30,8 +30,8 @@
 	Name    string
 	Catalog *Catalog
 	Planner *Planner
-	// Members returns the names of the live instances, this one included.
-	Members func() []string
+	// Members returns the live instances, this one included.
+	Members func() []wire.Member
 	// Fleet returns the settings in force.
 	Fleet func() Fleet
 	// Presence returns this instance's view of the backend servers.
@@ -100,8 +100,18 @@
 
 // Preferred returns the member that comes first for a key by rendezvous
 // hashing, so that all instances with the same view agree without a message.
-func Preferred(key string, members []string) string {
-	return rendezvous.New(members, xxhash.Sum64String).Lookup(key)
+func Preferred(key string, members []wire.Member) string {
+	return Ranking(members).Lookup(key)
+}
+
+// Ranking is Preferred for many keys at one time.
+func Ranking(members []wire.Member) *rendezvous.Rendezvous {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
+	}
+
+	return rendezvous.New(names, xxhash.Sum64String)
 }
 
 // carryOut writes one step into the catalog. The condition of a drop is
--- a/placement/need.go
+++ b/placement/need.go
@@ -58,7 +58,7 @@
 		model: m,
 		unmet: m.demand - m.attained,
 	}
-	short := n.unmet > _leastGain*m.demand && n.unmet > 0
+	short := n.unmet > 0 && n.unmet > leastGain(m, r.meanCapacity())
 	if !short {
 		delete(r.short, m.Name)
 	} else if r.short[m.Name].IsZero() {
@@ -69,7 +69,7 @@
 		n.reason = ReasonOnly
 	case good < m.MinCopies:
 		n.reason = ReasonMinimum
-	case good < _spareCopies && (m.maxCopies == 0 || m.maxCopies >= _spareCopies):
+	case good < r.options.SpareCopies && (m.maxCopies == 0 || m.maxCopies >= r.options.SpareCopies):
 		n.reason = ReasonSpare
 	case short && r.now.Sub(r.short[m.Name]) >= r.options.DemandHold && (m.maxCopies == 0 || good < m.maxCopies):
 		n.reason = ReasonDemand
@@ -90,24 +90,42 @@
 	}
 	for _, n := range needs {
 		limit := r.options.LoadsAtOnce
-		if n.reason != ReasonOnly {
+		if n.reason != ReasonOnly || n.model.Priority == wire.PriorityBatch {
 			limit = max(1, limit-_reservedLoads)
 		}
-		if inFlight >= limit || r.tokens < 1 {
-			continue
-		}
-		if r.place(n) {
+		for inFlight < limit && r.tokens >= 1 {
+			gain, ok := r.place(n)
+			if !ok {
+				r.noteUnplaced(n)
+
+				break
+			}
 			inFlight++
 			r.tokens--
-		} else if n.reason != ReasonDemand {
-			r.unplaced = append(r.unplaced, Unplaced{
-				Model:  n.model.Name,
-				Reason: n.reason,
-			})
+			n.unmet -= gain
+			if n.reason != ReasonDemand || n.unmet <= leastGain(n.model, r.meanCapacity()) {
+				break
+			}
 		}
 	}
 }
 
+func (r *round) noteUnplaced(n need) {
+	if n.reason == ReasonDemand {
+		return
+	}
+	r.unplaced = append(r.unplaced, Unplaced{
+		Model:  n.model.Name,
+		Reason: n.reason,
+	})
+}
+
+// leastGain is the least demand, in tokens a second, that a copy must carry
+// to be worth its load on an accelerator of this capacity.
+func leastGain(m *model, capacity float64) float64 {
+	return min(_leastGain*m.demand, _leastUse*capacity)
+}
+
 // site is an accelerator that can take a copy, after drops.
 type site struct {
 	at      *accelerator
@@ -118,9 +136,9 @@
 	cost float64
 }
 
-// place adds the steps that put a copy on the best accelerator. It reports
-// false when there is none.
-func (r *round) place(n need) bool {
+// place adds the steps that put a copy on the best accelerator, and returns
+// the demand that it will carry. It reports false when there is none.
+func (r *round) place(n need) (float64, bool) {
 	var best *site
 	candidates := 0
 	for _, a := range r.accelerators {
@@ -134,7 +152,7 @@
 		}
 	}
 	if best == nil {
-		return false
+		return 0, false
 	}
 	for _, v := range best.victims {
 		action := ActionDrop
@@ -162,9 +180,10 @@
 	}
 	r.steps = append(r.steps, step)
 	r.addCopy(m, step.Copy)
-	best.at.load += n.unmet
+	gain := max(0, min(n.unmet, best.at.spare()))
+	best.at.load += gain
 
-	return true
+	return gain, true
 }
 
 // siteAt says how an accelerator could take the copy, or returns nil.
@@ -185,14 +204,21 @@
 		return nil
 	}
 	s := &site{at: a}
-	if !r.makeRoom(n, s) {
-		return nil
-	}
-	if n.reason == ReasonDemand {
-		gain := min(n.unmet, a.capacity*_fullLoad-a.load+s.lost)
-		if gain < _leastGain*m.demand || s.lost > gain/2 {
+	if n.reason != ReasonDemand {
+		if !r.makeRoom(n, s) {
 			return nil
 		}
+		s.cost = r.cost(n, s)
+
+		return s
+	}
+	least := leastGain(m, a.capacity)
+	if 2*a.spare() < least || !r.makeRoom(n, s) {
+		// Victims may carry at most half of what is gained.
+		return nil
+	}
+	if gain := min(n.unmet, a.spare()+s.lost); gain < least || s.lost > gain/2 {
+		return nil
 	}
 	s.cost = r.cost(n, s)
 
@@ -283,11 +309,11 @@
 	case ReasonMinimum:
 		return left > 0 && (c.model == n.model || left >= c.model.MinCopies)
 	case ReasonSpare:
-		return left >= max(c.model.MinCopies, _spareCopies)
+		return left >= max(c.model.MinCopies, r.options.SpareCopies)
 	default:
 		held := r.age(c.model.Name, c.Copy, r.now) < r.options.CopyHold
 
-		return left >= max(c.model.MinCopies, _spareCopies) && !held
+		return left >= max(c.model.MinCopies, r.options.SpareCopies) && !held
 	}
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -86,6 +86,9 @@
 	// CopyHold is how long a copy is safe from being dropped for the demand
 	// of another model.
 	CopyHold time.Duration
+	// SpareCopies is how many copies a model has when there is room, however
+	// low its demand, so that the loss of a server leaves it reachable.
+	SpareCopies int
 	// BreakBeforeMake drops copies without waiting for another to serve. It
 	// breaks the promise that models stay reachable, and is for tests only.
 	BreakBeforeMake bool
@@ -98,11 +101,15 @@
 	_forgetAfter    = 5 * time.Minute
 	_demandHold     = 20 * time.Second
 	_copyHold       = 10 * time.Minute
-	// _reservedLoads of the loads at once are kept for the only copies.
+	// _reservedLoads of the loads at once are kept for the only copies of
+	// models that are not of priority Batch.
 	_reservedLoads = 2
 	_spareCopies   = 2
 	// _leastGain is the least part of a model's demand that a copy must add.
 	_leastGain = 0.05
+	// _leastUse is the part of an accelerator's capacity that is enough for a
+	// model whose demand is many times that.
+	_leastUse = 0.25
 )
 
 // Unplaced is a model that lacks a copy for which there is no room.
@@ -158,6 +165,7 @@
 	options.ForgetAfter = cmp.Or(options.ForgetAfter, _forgetAfter)
 	options.DemandHold = cmp.Or(options.DemandHold, _demandHold)
 	options.CopyHold = cmp.Or(options.CopyHold, _copyHold)
+	options.SpareCopies = cmp.Or(options.SpareCopies, _spareCopies)
 
 	return &Planner{
 		options:   options,
@@ -304,6 +312,7 @@
 		step.FreeBytes = c.at.memory - c.at.committed
 	}
 	r.steps = append(r.steps, step)
+	c.model.forgetServers()
 	if c.at != nil && c.lasting() {
 		c.at.committed -= c.footprint()
 		c.at.load -= c.weight * c.model.demand
@@ -385,10 +394,10 @@
 		return cmp.Compare(m.domainsWithout(b), m.domainsWithout(a))
 	})
 	ready := m.count(func(c *copyState) bool { return c.serving() && c.good() })
-	wanted := max(m.MinCopies, min(_spareCopies, ready+len(obsolete)))
+	wanted := max(m.MinCopies, min(r.options.SpareCopies, ready+len(obsolete)))
 	for i, c := range obsolete {
 		left := ready + len(obsolete) - i - 1
-		spread := ready >= wanted || m.serversWithout(c) >= min(_spareCopies, wanted)
+		spread := ready >= wanted || m.serversWithout(c) >= min(r.options.SpareCopies, wanted)
 		if r.options.BreakBeforeMake || (left >= wanted && spread && r.droppable(c)) {
 			r.add(ActionDrop, ReasonReplaced, c)
 		}
--- a/wire/order.gen.go
+++ b/wire/order.gen.go
@@ -34,8 +34,8 @@
 	// Holder is the instance that gives orders; empty when it has released the lease.
 	Holder string `json:"Holder"`
 
-	// HolderID is unique for each start of the holder.
-	HolderID string `json:"HolderID"`
+	// HolderIncarnation rises with each start of the holder, in Unix milliseconds.
+	HolderIncarnation int `json:"HolderIncarnation"`
 
 	// Intents corresponds to the JSON schema field "Intents".
 	Intents []Intent `json:"Intents"`
