Tell routing which backend servers serve a model

Cause: routing needs the servers of a model, version or adapter for each request, from reports and not from plans. Change: placement.Residents indexes the reports.

--- /dev/null
+++ b/placement/residents_test.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"papayastair.dev/papayastair/wire"
+)
+
+// TestResidents follows two servers through a rollout, with a report that
+// comes late.
+func TestResidents(t *testing.T) {
+	report := func(server string, sequence int, versions ...string) wire.LoadReport {
+		r := wire.LoadReport{
+			Name:     server,
+			Sequence: sequence,
+		}
+		for _, v := range versions {
+			r.Residents = append(r.Residents, wire.Resident{
+				Model:   "m",
+				Version: v,
+				State:   wire.ResidentStateServing,
+			})
+		}
+
+		return r
+	}
+	var residents Residents
+	residents.Observe(report("a", 2, "1", "2"))
+	residents.Observe(report("a", 1, "1"))
+	residents.Observe(report("b", 1, "2"))
+	if diff := cmp.Diff([]string{"2", "1"}, residents.Versions("m")); diff != "" {
+		t.Errorf("versions (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"a", "b"}, residents.Servers("m", "", "2")); diff != "" {
+		t.Errorf("servers (-want +got):\n%s", diff)
+	}
+	residents.Forget("a")
+	if diff := cmp.Diff([]string{"b"}, residents.Servers("m", "", "2")); diff != "" {
+		t.Errorf("servers after a loss (-want +got):\n%s", diff)
+	}
+}
