Bound what a start or a returning failure domain asks of the store

Cause: a review at the size of 820 servers: all leases were taken at once after a start; a failure domain that comes back empty made one write for each copy at once; two planners with different views forgot and adopted the same copies in turn; a planner that had just started planned from half a view. Change: first takes are spread at 200 a second; a holder makes at most two catalog updates a second and server; copies on servers that are only down stay listed; an instance plans 10 s after its start. Conclusion: bounds by construction; not run at 820 servers.

--- a/order/adapter.go
+++ b/order/adapter.go
@@ -17,10 +17,10 @@
 // of their models, and unloads of idle ones where they lack room.
 func (s *server) adapterOrders(t turn) []*ledgerEntry {
 	var due []*ledgerEntry
-	requested := s.requested(s.settings.Name)
+	requested := s.requested(s.settings.Name, t.now)
 	for _, name := range slices.Sorted(maps.Keys(requested)) {
 		i := slices.IndexFunc(t.fleet.Adapters, func(a wire.Adapter) bool { return a.Name == name })
-		if i < 0 || t.now.Sub(requested[name]) > _adapterIdle {
+		if i < 0 {
 			continue
 		}
 		due = append(due, s.loadAdapter(t.fleet.Adapters[i], requested)...)
@@ -66,18 +66,14 @@
 	}, adapter.MemoryBytes)}
 }
 
-// evictAdapters orders unloads of adapters, the longest unused first, until
-// enough memory will come free; with requested set, only of idle ones.
+// evictAdapters orders unloads of adapters that were not requested lately,
+// until enough memory will come free.
 func (s *server) evictAdapters(accelerator string, lacking int, requested map[string]time.Time) []*ledgerEntry {
-	now := s.Timer.Now()
 	candidates := slices.DeleteFunc(s.ledger.residents(), func(r wire.Resident) bool {
-		busy := requested != nil && now.Sub(requested[r.Adapter]) <= _adapterIdle
+		_, busy := requested[r.Adapter]
 
 		return r.Adapter == "" || r.Accelerator != accelerator || busy
 	})
-	slices.SortStableFunc(candidates, func(a, b wire.Resident) int {
-		return requested[a.Adapter].Compare(requested[b.Adapter])
-	})
 	var due []*ledgerEntry
 	for _, r := range candidates {
 		if lacking <= 0 {
--- a/order/manager.go
+++ b/order/manager.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
@@ -55,8 +57,14 @@
 	_retryPeriod      = 2 * time.Second
 	_clearAfter       = 10 * time.Second
 	_concurrency      = 8
-	_maxSends         = 3
-	_closeTimeout     = 2 * time.Second
+	// _takesPerSecond spreads the first reads and writes of all leases when
+	// all instances start at once.
+	_takesPerSecond = 200
+	// _maxUpdates bounds what one server's report changes in the catalog at a
+	// time, so that a failure domain that comes back doesn't flood the store.
+	_maxUpdates   = 2
+	_maxSends     = 3
+	_closeTimeout = 2 * time.Second
 )
 
 // Manager gives the orders of one instance to the backend servers whose
@@ -145,7 +153,7 @@
 			preferred: ranking.Lookup(settings.Name) == m.Name,
 			now:       now,
 		}
-		s := m.server(settings, turn.preferred)
+		s := m.server(settings, turn)
 		switch {
 		case s == nil:
 		case m.Options.Concurrency == 1:
@@ -239,30 +247,36 @@
 
 // server is the state of one backend server; nil if it isn't this instance's
 // concern.
-func (m *Manager) server(settings wire.BackendServer, wanted bool) *server {
+func (m *Manager) server(settings wire.BackendServer, t turn) *server {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.servers[settings.Name]
 	if s == nil {
-		if !wanted {
+		if !t.preferred {
 			return nil
 		}
 		if m.servers == nil {
 			m.servers = map[string]*server{}
 		}
-		s = &server{Manager: m}
+		share := float64(xxhash.Sum64String(settings.Name)) / math.MaxUint64
+		spread := float64(len(t.fleet.Servers)) / _takesPerSecond * float64(time.Second)
+		s = &server{
+			Manager: m,
+			nextTry: t.now.Add(time.Duration(share * spread)),
+		}
 		m.servers[settings.Name] = s
 	}
 	s.settings = settings
-	s.wanted = wanted
+	s.wanted = t.preferred
 
 	return s
 }
 
-// requested are the adapters asked for on a server, with the last time.
-func (m *Manager) requested(server string) map[string]time.Time {
+// requested are the adapters lately asked for on a server, with the last time.
+func (m *Manager) requested(server string, now time.Time) map[string]time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	maps.DeleteFunc(m.adapters[server], func(_ string, at time.Time) bool { return now.Sub(at) > _adapterIdle })
 
 	return maps.Clone(m.adapters[server])
 }
--- a/order/reconcile.go
+++ b/order/reconcile.go
@@ -25,7 +25,7 @@
 		return
 	}
 	s.ledger.Observe(report, asked)
-	s.observe(ctx)
+	updates := s.observe(ctx)
 	places := s.Catalog.On(s.settings.Name)
 	due := s.resends(asked)
 	due = append(due, s.unloads(ctx, places)...)
@@ -36,14 +36,22 @@
 		s.send(ctx, due)
 	}
 	s.nextReport = t.now.Add(s.Options.IdleReportPeriod)
-	if len(s.ledger.entries) > 0 || slices.ContainsFunc(places, unfinished) {
+	if updates > 0 || len(s.ledger.entries) > 0 || slices.ContainsFunc(places, unfinished) {
 		s.nextReport = t.now.Add(s.Options.ReportPeriod)
 	}
 }
 
 // observe tells the catalog which copies serve, which are gone, and which
-// stand here without being planned.
-func (s *server) observe(ctx context.Context) {
+// stand here without being planned. It returns the number of updates, of which
+// it makes a few at a time.
+func (s *server) observe(ctx context.Context) int {
+	updates := 0
+	update := func(p placement.Place, state wire.CopyState) {
+		updates++
+		if updates <= _maxUpdates {
+			s.update(ctx, p, state)
+		}
+	}
 	places := s.Catalog.On(s.settings.Name)
 	planned := map[memoryKey]bool{}
 	for _, p := range places {
@@ -53,11 +61,11 @@
 		present := resident && r.State != wire.ResidentStateUnloading
 		switch {
 		case p.State == wire.CopyStateLoading && resident && r.State == wire.ResidentStateServing:
-			s.update(ctx, p, wire.CopyStateServing)
+			update(p, wire.CopyStateServing)
 		case p.State == wire.CopyStateServing && !present:
-			s.update(ctx, p, "")
+			update(p, "")
 		case removing(p) && !resident && !s.ledger.inDoubt(key, wire.OrderActionLoad):
-			s.update(ctx, p, "")
+			update(p, "")
 		}
 	}
 	for _, r := range s.ledger.residents() {
@@ -69,7 +77,7 @@
 		if r.State == wire.ResidentStateServing {
 			state = wire.CopyStateServing
 		}
-		s.update(ctx, placement.Place{
+		update(placement.Place{
 			Model: r.Model,
 			Copy: wire.Copy{
 				Server:      s.settings.Name,
@@ -79,6 +87,8 @@
 			},
 		}, state)
 	}
+
+	return updates
 }
 
 // update changes a copy in the catalog from its present state, which is empty
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -19,6 +19,9 @@
 	_planKey    = "placement"
 	_planPeriod = time.Second
 	_followGap  = time.Second
+	// _settleTime is how long a started instance gathers its view before it
+	// plans.
+	_settleTime = 10 * time.Second
 	// _followsPerSecond bounds the watches that all instances together begin.
 	_followsPerSecond = 100
 )
@@ -42,6 +45,7 @@
 	Timer  *timer.Service
 	Log    *event.Log
 
+	started  time.Time
 	unplaced []Unplaced
 	tick     chan time.Time
 	cancel   context.CancelFunc
@@ -84,7 +88,10 @@
 		Demand:   m.Demand(),
 		Now:      now,
 	}
-	if Preferred(_planKey, m.Members()) != m.Name {
+	if m.started.IsZero() {
+		m.started = now
+	}
+	if now.Sub(m.started) < _settleTime || Preferred(_planKey, m.Members()) != m.Name {
 		m.Planner.Observe(in)
 
 		return
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -20,7 +20,7 @@
 	// ActionEvict unloads what may be the last copy of a model, for the only
 	// copy of a model of higher priority.
 	ActionEvict Action = "Evict"
-	// ActionForget removes a copy whose backend server is gone.
+	// ActionForget removes a copy whose accelerator left the settings.
 	ActionForget Action = "Forget"
 )
 
@@ -48,8 +48,8 @@
 	ReasonSettings Reason = "Settings"
 	// ReasonTimeout drops a copy that didn't come to serve.
 	ReasonTimeout Reason = "LoadTimeout"
-	// ReasonServerGone forgets a copy with its backend server.
-	ReasonServerGone Reason = "ServerGone"
+	// ReasonNoAccelerator forgets a copy with its accelerator.
+	ReasonNoAccelerator Reason = "NoAccelerator"
 )
 
 // Step is one change of the catalog.
@@ -77,9 +77,6 @@
 	LoadsAtOnce int
 	// LoadTimeout is how long a copy may take to serve.
 	LoadTimeout time.Duration
-	// ForgetAfter is how long a server must be gone until its copies are
-	// forgotten.
-	ForgetAfter time.Duration
 	// DemandHold is how long demand must exceed the capacity before a copy is
 	// loaded for it.
 	DemandHold time.Duration
@@ -98,7 +95,6 @@
 	_loadsPerSecond = 2
 	_loadsAtOnce    = 8
 	_loadTimeout    = 2 * time.Minute
-	_forgetAfter    = 5 * time.Minute
 	_demandHold     = 20 * time.Second
 	_copyHold       = 10 * time.Minute
 	// _reservedLoads of the loads at once are kept for the only copies of
@@ -124,7 +120,6 @@
 	options   Options
 	forecasts map[string]*Forecast
 	seen      map[copyKey]sighting
-	gone      map[string]time.Time
 	short     map[string]time.Time
 	avoid     map[copyKey]time.Time
 	tokens    float64
@@ -162,7 +157,6 @@
 	options.LoadsPerSecond = cmp.Or(options.LoadsPerSecond, _loadsPerSecond)
 	options.LoadsAtOnce = cmp.Or(options.LoadsAtOnce, _loadsAtOnce)
 	options.LoadTimeout = cmp.Or(options.LoadTimeout, _loadTimeout)
-	options.ForgetAfter = cmp.Or(options.ForgetAfter, _forgetAfter)
 	options.DemandHold = cmp.Or(options.DemandHold, _demandHold)
 	options.CopyHold = cmp.Or(options.CopyHold, _copyHold)
 	options.SpareCopies = cmp.Or(options.SpareCopies, _spareCopies)
@@ -171,7 +165,6 @@
 		options:   options,
 		forecasts: map[string]*Forecast{},
 		seen:      map[copyKey]sighting{},
-		gone:      map[string]time.Time{},
 		short:     map[string]time.Time{},
 		avoid:     map[copyKey]time.Time{},
 		tokens:    1,
@@ -219,7 +212,6 @@
 		f.Observe(in.Demand[m.Name], in.Now)
 		m.demand = f.Demand()
 	}
-	p.observePresence(in)
 	p.observeCopies(in)
 	if !p.at.IsZero() {
 		elapsed := in.Now.Sub(p.at).Seconds()
@@ -230,16 +222,6 @@
 	return x
 }
 
-func (p *Planner) observePresence(in Input) {
-	for _, s := range in.Fleet.Servers {
-		if in.Presence[s.Name].Live {
-			delete(p.gone, s.Name)
-		} else if p.gone[s.Name].IsZero() {
-			p.gone[s.Name] = in.Now
-		}
-	}
-}
-
 // observeCopies notes since when copies are in their state, and which vanished
 // while they were being loaded; their places are avoided for a time.
 func (p *Planner) observeCopies(in Input) {
@@ -350,13 +332,13 @@
 	}
 }
 
-// forgetGone forgets copies on servers that left the settings or have been
-// gone for long, and copies that were only being loaded on a server now gone.
+// forgetGone forgets copies whose accelerators left the settings. Copies on
+// servers that are only down stay listed: the holder of the server's orders
+// removes them when it comes back without them.
 func (r *round) forgetGone(m *model) {
 	for _, c := range slices.Clone(m.copies) {
-		loading := c.State == wire.CopyStateLoading
-		if c.at == nil || (!c.live() && (loading || r.now.Sub(r.gone[c.Server]) > r.options.ForgetAfter)) {
-			r.add(ActionForget, ReasonServerGone, c)
+		if c.at == nil {
+			r.add(ActionForget, ReasonNoAccelerator, c)
 		}
 	}
 }
