--- a/standin/store.go
+++ b/standin/store.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -31,7 +32,8 @@
 	Latency time.Duration
 	// LoseReplies lets writes take effect and fails their calls.
 	LoseReplies bool
-	// Stale answers reads from the state as it was when Stale was set.
+	// Stale answers reads from the state and the revision as they were when
+	// Stale was set.
 	Stale bool
 }
 
@@ -41,7 +43,7 @@
 	mu       sync.Mutex
 	revision int
 	objects  map[objectKey]wire.Object
-	stale    map[objectKey]wire.Object
+	stale    staleState
 	history  []wire.Object
 	dropped  int
 	changed  chan struct{}
@@ -50,6 +52,12 @@
 	sleep    func(ctx context.Context, d time.Duration) error
 }
 
+// staleState is what stale reads see.
+type staleState struct {
+	revision int
+	objects  map[objectKey]wire.Object
+}
+
 type objectKey struct {
 	kind string
 	name string
@@ -70,15 +78,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if faults.Stale && !s.faults.Stale {
-		s.stale = make(map[objectKey]wire.Object, len(s.objects))
-		for key, object := range s.objects {
-			s.stale[key] = object
+		s.stale = staleState{
+			revision: s.revision,
+			objects:  maps.Clone(s.objects),
 		}
 	}
 	s.faults = faults
 	s.notify()
 }
 
+// Faults are the failures in force.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
 // Calls is the number of calls so far, by operation.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -122,7 +138,7 @@
 		return wire.ObjectList{}, err
 	}
 	defer s.mu.Unlock()
-	list := wire.ObjectList{Version: s.revision}
+	list := wire.ObjectList{Version: s.readRevision()}
 	for key, object := range objects {
 		if key.kind == kind {
 			list.Objects = append(list.Objects, object)
@@ -215,10 +231,19 @@
 	}
 }
 
+// readRevision is the revision that reads reflect. The lock is held.
+func (s *Store) readRevision() int {
+	if s.faults.Stale {
+		return s.stale.revision
+	}
+
+	return s.revision
+}
+
 // changesAfter returns the last state of each object of a kind written after
 // a revision. The lock is held.
 func (s *Store) changesAfter(kind string, after int) wire.ObjectList {
-	list := wire.ObjectList{Version: s.revision}
+	list := wire.ObjectList{Version: s.readRevision()}
 	if s.faults.Stale {
 		return list
 	}
@@ -261,12 +286,19 @@
 		return nil, faults, failure(op, kind, name, platform.CodeNotRun, 0)
 	}
 	if s.faults.Stale {
-		return s.stale, s.faults, nil
+		return s.stale.objects, s.faults, nil
 	}
 
 	return s.objects, s.faults, nil
 }
 
+// count counts a call.
+func (s *Store) count(op string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[op]++
+}
+
 // notify wakes the watches. The lock is held.
 func (s *Store) notify() {
 	close(s.changed)
@@ -283,14 +315,3 @@
 		Reason:  "stand-in",
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
