--- a/order/manager.go
+++ b/order/manager.go
@@ -5,13 +5,13 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
@@ -57,25 +57,33 @@
 	_retryPeriod      = 2 * time.Second
 	_clearAfter       = 10 * time.Second
 	_concurrency      = 8
-	_maxSends         = 3
-	_closeTimeout     = 2 * time.Second
+	// _takesPerSecond spreads the first reads and writes of all leases when
+	// all instances start at once.
+	_takesPerSecond = 200
+	// _maxUpdates bounds what one server's report changes in the catalog at a
+	// time, so that a failure domain that comes back doesn't flood the store.
+	_maxUpdates   = 2
+	_maxSends     = 3
+	_closeTimeout = 2 * time.Second
 )
 
 // Manager gives the orders of one instance to the backend servers whose
 // leases it holds. Set the fields, then either call Start and Close, or Step
 // from a test.
 type Manager struct {
-	// Name is the instance's name, ID is unique for each start of it.
-	Name    string
-	ID      string
-	Store   platform.Store
-	Catalog *placement.Catalog
+	// Name is the instance's name.
+	Name string
+	// Incarnation rises with each start of the instance, in Unix
+	// milliseconds; Members must show it too.
+	Incarnation int
+	Store       platform.Store
+	Catalog     *placement.Catalog
 	// Send sends an order once. An error means that the outcome is unknown.
 	Send func(ctx context.Context, server string, order wire.Order) (wire.OrderResult, error)
 	// Report asks a backend server for its load report.
 	Report func(ctx context.Context, server string) (wire.LoadReport, error)
-	// Members returns the names of the live instances, this one included.
-	Members func() []string
+	// Members returns the live instances, this one included.
+	Members func() []wire.Member
 	// Fleet returns the settings in force.
 	Fleet   func() placement.Fleet
 	Timer   *timer.Service
@@ -131,7 +139,7 @@
 	m.setDefaults()
 	fleet := m.Fleet()
 	members := m.Members()
-	preferred := rendezvous.New(members, xxhash.Sum64String)
+	ranking := placement.Ranking(members)
 	work := pool.New().WithMaxGoroutines(m.Options.Concurrency)
 	present := map[string]bool{}
 	for _, settings := range fleet.Servers {
@@ -142,10 +150,10 @@
 		turn := turn{
 			fleet:     fleet,
 			members:   members,
-			preferred: preferred.Lookup(settings.Name) == m.Name,
+			preferred: ranking.Lookup(settings.Name) == m.Name,
 			now:       now,
 		}
-		s := m.server(settings, turn.preferred)
+		s := m.server(settings, turn)
 		switch {
 		case s == nil:
 		case m.Options.Concurrency == 1:
@@ -239,34 +247,45 @@
 
 // server is the state of one backend server; nil if it isn't this instance's
 // concern.
-func (m *Manager) server(settings wire.BackendServer, wanted bool) *server {
+func (m *Manager) server(settings wire.BackendServer, t turn) *server {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.servers[settings.Name]
 	if s == nil {
-		if !wanted {
+		if !t.preferred {
 			return nil
 		}
 		if m.servers == nil {
 			m.servers = map[string]*server{}
 		}
-		s = &server{Manager: m}
+		share := float64(xxhash.Sum64String(settings.Name)) / math.MaxUint64
+		spread := float64(len(t.fleet.Servers)) / _takesPerSecond * float64(time.Second)
+		s = &server{
+			Manager: m,
+			nextTry: t.now.Add(time.Duration(share * spread)),
+		}
 		m.servers[settings.Name] = s
 	}
 	s.settings = settings
-	s.wanted = wanted
+	s.wanted = t.preferred
 
 	return s
 }
 
-// requested are the adapters asked for on a server, with the last time.
-func (m *Manager) requested(server string) map[string]time.Time {
+// requested are the adapters lately asked for on a server, with the last time.
+func (m *Manager) requested(server string, now time.Time) map[string]time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	maps.DeleteFunc(m.adapters[server], func(_ string, at time.Time) bool { return now.Sub(at) > _adapterIdle })
 
 	return maps.Clone(m.adapters[server])
 }
 
+// id is unique for each start of the instance.
+func (m *Manager) id() string {
+	return fmt.Sprintf("%s.%d", m.Name, m.Incarnation)
+}
+
 func (m *Manager) newOrderID() string {
-	return fmt.Sprintf("%s-%d", m.ID, m.orders.Add(1))
+	return fmt.Sprintf("%s.%d", m.id(), m.orders.Add(1))
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -20,7 +20,7 @@
 	// ActionEvict unloads what may be the last copy of a model, for the only
 	// copy of a model of higher priority.
 	ActionEvict Action = "Evict"
-	// ActionForget removes a copy whose backend server is gone.
+	// ActionForget removes a copy whose accelerator left the settings.
 	ActionForget Action = "Forget"
 )
 
@@ -48,8 +48,8 @@
 	ReasonSettings Reason = "Settings"
 	// ReasonTimeout drops a copy that didn't come to serve.
 	ReasonTimeout Reason = "LoadTimeout"
-	// ReasonServerGone forgets a copy with its backend server.
-	ReasonServerGone Reason = "ServerGone"
+	// ReasonNoAccelerator forgets a copy with its accelerator.
+	ReasonNoAccelerator Reason = "NoAccelerator"
 )
 
 // Step is one change of the catalog.
@@ -77,15 +77,15 @@
 	LoadsAtOnce int
 	// LoadTimeout is how long a copy may take to serve.
 	LoadTimeout time.Duration
-	// ForgetAfter is how long a server must be gone until its copies are
-	// forgotten.
-	ForgetAfter time.Duration
 	// DemandHold is how long demand must exceed the capacity before a copy is
 	// loaded for it.
 	DemandHold time.Duration
 	// CopyHold is how long a copy is safe from being dropped for the demand
 	// of another model.
 	CopyHold time.Duration
+	// SpareCopies is how many copies a model has when there is room, however
+	// low its demand, so that the loss of a server leaves it reachable.
+	SpareCopies int
 	// BreakBeforeMake drops copies without waiting for another to serve. It
 	// breaks the promise that models stay reachable, and is for tests only.
 	BreakBeforeMake bool
@@ -95,14 +95,17 @@
 	_loadsPerSecond = 2
 	_loadsAtOnce    = 8
 	_loadTimeout    = 2 * time.Minute
-	_forgetAfter    = 5 * time.Minute
 	_demandHold     = 20 * time.Second
 	_copyHold       = 10 * time.Minute
-	// _reservedLoads of the loads at once are kept for the only copies.
+	// _reservedLoads of the loads at once are kept for the only copies of
+	// models that are not of priority Batch.
 	_reservedLoads = 2
 	_spareCopies   = 2
 	// _leastGain is the least part of a model's demand that a copy must add.
 	_leastGain = 0.05
+	// _leastUse is the part of an accelerator's capacity that is enough for a
+	// model whose demand is many times that.
+	_leastUse = 0.25
 )
 
 // Unplaced is a model that lacks a copy for which there is no room.
@@ -117,7 +120,6 @@
 	options   Options
 	forecasts map[string]*Forecast
 	seen      map[copyKey]sighting
-	gone      map[string]time.Time
 	short     map[string]time.Time
 	avoid     map[copyKey]time.Time
 	tokens    float64
@@ -155,15 +157,14 @@
 	options.LoadsPerSecond = cmp.Or(options.LoadsPerSecond, _loadsPerSecond)
 	options.LoadsAtOnce = cmp.Or(options.LoadsAtOnce, _loadsAtOnce)
 	options.LoadTimeout = cmp.Or(options.LoadTimeout, _loadTimeout)
-	options.ForgetAfter = cmp.Or(options.ForgetAfter, _forgetAfter)
 	options.DemandHold = cmp.Or(options.DemandHold, _demandHold)
 	options.CopyHold = cmp.Or(options.CopyHold, _copyHold)
+	options.SpareCopies = cmp.Or(options.SpareCopies, _spareCopies)
 
 	return &Planner{
 		options:   options,
 		forecasts: map[string]*Forecast{},
 		seen:      map[copyKey]sighting{},
-		gone:      map[string]time.Time{},
 		short:     map[string]time.Time{},
 		avoid:     map[copyKey]time.Time{},
 		tokens:    1,
@@ -211,7 +212,6 @@
 		f.Observe(in.Demand[m.Name], in.Now)
 		m.demand = f.Demand()
 	}
-	p.observePresence(in)
 	p.observeCopies(in)
 	if !p.at.IsZero() {
 		elapsed := in.Now.Sub(p.at).Seconds()
@@ -222,16 +222,6 @@
 	return x
 }
 
-func (p *Planner) observePresence(in Input) {
-	for _, s := range in.Fleet.Servers {
-		if in.Presence[s.Name].Live {
-			delete(p.gone, s.Name)
-		} else if p.gone[s.Name].IsZero() {
-			p.gone[s.Name] = in.Now
-		}
-	}
-}
-
 // observeCopies notes since when copies are in their state, and which vanished
 // while they were being loaded; their places are avoided for a time.
 func (p *Planner) observeCopies(in Input) {
@@ -304,6 +294,7 @@
 		step.FreeBytes = c.at.memory - c.at.committed
 	}
 	r.steps = append(r.steps, step)
+	c.model.forgetServers()
 	if c.at != nil && c.lasting() {
 		c.at.committed -= c.footprint()
 		c.at.load -= c.weight * c.model.demand
@@ -341,13 +332,13 @@
 	}
 }
 
-// forgetGone forgets copies on servers that left the settings or have been
-// gone for long, and copies that were only being loaded on a server now gone.
+// forgetGone forgets copies whose accelerators left the settings. Copies on
+// servers that are only down stay listed: the holder of the server's orders
+// removes them when it comes back without them.
 func (r *round) forgetGone(m *model) {
 	for _, c := range slices.Clone(m.copies) {
-		loading := c.State == wire.CopyStateLoading
-		if c.at == nil || (!c.live() && (loading || r.now.Sub(r.gone[c.Server]) > r.options.ForgetAfter)) {
-			r.add(ActionForget, ReasonServerGone, c)
+		if c.at == nil {
+			r.add(ActionForget, ReasonNoAccelerator, c)
 		}
 	}
 }
@@ -385,10 +376,10 @@
 		return cmp.Compare(m.domainsWithout(b), m.domainsWithout(a))
 	})
 	ready := m.count(func(c *copyState) bool { return c.serving() && c.good() })
-	wanted := max(m.MinCopies, min(_spareCopies, ready+len(obsolete)))
+	wanted := max(m.MinCopies, min(r.options.SpareCopies, ready+len(obsolete)))
 	for i, c := range obsolete {
 		left := ready + len(obsolete) - i - 1
-		spread := ready >= wanted || m.serversWithout(c) >= min(_spareCopies, wanted)
+		spread := ready >= wanted || m.serversWithout(c) >= min(r.options.SpareCopies, wanted)
 		if r.options.BreakBeforeMake || (left >= wanted && spread && r.droppable(c)) {
 			r.add(ActionDrop, ReasonReplaced, c)
 		}
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -219,10 +219,10 @@
 
 // spread tells all instances of the death of the run's server.
 func (s *Suspects) spread(run *Run) {
-	finding := wire.Finding{
+	finding := wire.ServerFinding{
 		Instance:     s.cfg.Instance,
 		Server:       run.Server,
-		Kind:         wire.FindingKindDied,
+		Kind:         wire.ServerFindingKindDied,
 		Fingerprints: []int{run.Fingerprint},
 	}
 	s.HandleFinding(finding)
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -43,7 +43,7 @@
 	// tens of milliseconds at most.
 	Ask func(peer string, ask wire.SuspectAsk) (wire.SuspectAnswer, error)
 	// Tell sends a finding to another instance and waits for the receipt.
-	Tell func(peer string, finding wire.Finding) error
+	Tell func(peer string, finding wire.ServerFinding) error
 	// End sends the end of a run to another instance and waits for the receipt.
 	End func(peer string, end wire.RunEnd) error
 	// Unguarded lets each request run at once, for tests.
@@ -196,8 +196,8 @@
 }
 
 // HandleFinding takes a finding of a death, from this instance or another.
-func (s *Suspects) HandleFinding(finding wire.Finding) {
-	if finding.Kind != wire.FindingKindDied {
+func (s *Suspects) HandleFinding(finding wire.ServerFinding) {
+	if finding.Kind != wire.ServerFindingKindDied {
 		return
 	}
 	now := s.cfg.Clock.Now()
