--- a/order/guard_test.go
+++ b/order/guard_test.go
@@ -245,6 +245,33 @@
 	}
 }
 
+// TestLostReplyOfTake loses the reply to an instance that takes a lease and is
+// no longer the preferred holder afterwards. Until it knows that it is the
+// holder, the preferred one, which sees it live, must not wait for ever.
+func TestLostReplyOfTake(t *testing.T) {
+	h := newHandover(t, Guards{}, false)
+	both := []wire.Member{h.old.member(), h.new.member()}
+	taker, preferred := h.old, h.new
+	if placement.Preferred("engine-0", both) == taker.order.Name {
+		taker, preferred = preferred, taker
+	}
+	h.want("model-00", wire.CopyStateLoading)
+	alone := []wire.Member{taker.member()}
+	taker.order.Members = func() []wire.Member { return alone }
+	h.shape.faults.storeReplyLost = 1000
+	h.work(taker, 2*time.Second)
+	h.shape.faults.storeReplyLost = 0
+	taker.order.Members = func() []wire.Member { return both }
+	preferred.order.Members = taker.order.Members
+	for range 30 {
+		h.work(preferred, _tick)
+		h.work(taker, _tick)
+	}
+	if !h.engine.at.Serves("model-00", "", "", h.timer.Now()) {
+		t.Error("no instance has given the order after a minute")
+	}
+}
+
 // TestAdapters asks for more adapters than fit beside a model: they come one
 // after another, idle ones make room, and memory is never overcommitted.
 func TestAdapters(t *testing.T) {
--- a/order/lease.go
+++ b/order/lease.go
@@ -36,6 +36,10 @@
 	// stored is how many intents the object holds, written when.
 	stored  int
 	written time.Time
+	// uncertain says that a write that took the lease got no reply.
+	uncertain bool
+	// foreign is since when another live instance has been seen to hold it.
+	foreign time.Time
 	// checked is when the object was last known to name this instance.
 	checked    time.Time
 	ledger     *Ledger
@@ -55,7 +59,7 @@
 }
 
 func (s *server) step(ctx context.Context, t turn) {
-	if !s.held && t.preferred && !t.now.Before(s.nextTry) {
+	if !s.held && (t.preferred || s.uncertain) && !t.now.Before(s.nextTry) {
 		s.take(ctx, t)
 	}
 	if !s.held {
@@ -79,7 +83,9 @@
 	}
 }
 
-// take takes the lease unless another live instance holds it.
+// take takes the lease unless another live instance holds it. One that doesn't
+// hand it over in good time loses it all the same: taking it is safe at any
+// time.
 func (s *server) take(ctx context.Context, t turn) {
 	s.nextTry = t.now.Add(_retryPeriod)
 	lease, version, err := s.read(ctx)
@@ -88,17 +94,30 @@
 
 		return
 	}
+	own := lease.Holder == s.Name && lease.HolderIncarnation == s.Incarnation
+	s.uncertain = s.uncertain && own
+	if !own && !t.preferred {
+		return
+	}
 	if lease.Holder != s.Name && holderLives(lease, t.members) {
 		s.nextTry = t.now.Add(s.Options.RecheckPeriod)
-
-		return
+		if s.foreign.IsZero() {
+			s.foreign = t.now
+		}
+		if t.now.Sub(s.foreign) < 2*s.Options.RebalanceAfter {
+			return
+		}
 	}
+	s.foreign = time.Time{}
 	lease.Holder = s.Name
 	lease.HolderIncarnation = s.Incarnation
 	s.version = version
 	if !s.put(ctx, lease) {
+		s.uncertain = s.unread
+
 		return
 	}
+	s.uncertain = false
 	s.setHeld(true)
 	s.fence = s.version
 	s.ledger = NewLedger(s.Guards)
@@ -121,16 +140,16 @@
 	})
 }
 
-// release hands the lease over to whoever takes it first.
+// release hands the lease over to whoever takes it first. Without a reply the
+// instance stays the holder until it has read the object again.
 func (s *server) release(ctx context.Context) {
 	if s.unread && !s.reread(ctx) {
-		s.setHeld(false)
-
 		return
 	}
-	if s.put(ctx, wire.OrderLease{Intents: s.ledger.intents()}) {
-		s.Log.Write(event.OrderLeaseReleased, zap.String("BackendServer", s.settings.Name))
+	if !s.put(ctx, wire.OrderLease{Intents: s.ledger.intents()}) {
+		return
 	}
+	s.Log.Write(event.OrderLeaseReleased, zap.String("BackendServer", s.settings.Name))
 	s.setHeld(false)
 	s.nextTry = s.Timer.Now().Add(s.Options.RecheckPeriod)
 }
--- a/order/manager.go
+++ b/order/manager.go
@@ -166,7 +166,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	maps.DeleteFunc(m.servers, func(name string, s *server) bool {
-		return !present[name] || (!s.held && !s.wanted)
+		return !present[name] || (!s.held && !s.wanted && !s.uncertain)
 	})
 }
 
