--- a/placement/manager.go
+++ b/placement/manager.go
@@ -19,6 +19,9 @@
 	_planKey    = "placement"
 	_planPeriod = time.Second
 	_followGap  = time.Second
+	// _settleTime is how long a started instance gathers its view before it
+	// plans.
+	_settleTime = 10 * time.Second
 	// _followsPerSecond bounds the watches that all instances together begin.
 	_followsPerSecond = 100
 )
@@ -30,8 +33,8 @@
 	Name    string
 	Catalog *Catalog
 	Planner *Planner
-	// Members returns the names of the live instances, this one included.
-	Members func() []string
+	// Members returns the live instances, this one included.
+	Members func() []wire.Member
 	// Fleet returns the settings in force.
 	Fleet func() Fleet
 	// Presence returns this instance's view of the backend servers.
@@ -42,6 +45,7 @@
 	Timer  *timer.Service
 	Log    *event.Log
 
+	started  time.Time
 	unplaced []Unplaced
 	tick     chan time.Time
 	cancel   context.CancelFunc
@@ -71,6 +75,11 @@
 	m.wg.Wait()
 }
 
+// IsPlanner reports whether this instance is the one to plan.
+func (m *Manager) IsPlanner() bool {
+	return Preferred(_planKey, m.Members()) == m.Name
+}
+
 // Step plans once if this instance is the one to plan, and carries out the
 // steps. A step that fails is planned again.
 func (m *Manager) Step(ctx context.Context, now time.Time) {
@@ -84,7 +93,10 @@
 		Demand:   m.Demand(),
 		Now:      now,
 	}
-	if Preferred(_planKey, m.Members()) != m.Name {
+	if m.started.IsZero() {
+		m.started = now
+	}
+	if now.Sub(m.started) < _settleTime || !m.IsPlanner() {
 		m.Planner.Observe(in)
 
 		return
@@ -100,8 +112,18 @@
 
 // Preferred returns the member that comes first for a key by rendezvous
 // hashing, so that all instances with the same view agree without a message.
-func Preferred(key string, members []string) string {
-	return rendezvous.New(members, xxhash.Sum64String).Lookup(key)
+func Preferred(key string, members []wire.Member) string {
+	return Ranking(members).Lookup(key)
+}
+
+// Ranking is Preferred for many keys at one time.
+func Ranking(members []wire.Member) *rendezvous.Rendezvous {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
+	}
+
+	return rendezvous.New(names, xxhash.Sum64String)
 }
 
 // carryOut writes one step into the catalog. The condition of a drop is
