Let batch work give way and keep a reserve for small workspaces

Change: a server without room for live work takes batch only by the floor for 10 s; workspaces that ask for no more than their part of the fleet may use a reserve and overdraw the instance's part; floods wait while their prompts keep a server reading; reading speed is learned from the low observations, and the first token's time is corrected by what was met; engines read prompts in the order of priority.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -27,6 +27,8 @@
 	own      map[demandKey]*ownDemand
 	peers    map[string]*peerDemand
 	weights  map[string]float64
+	// over holds the workspaces that ask for more than their fair part.
+	over map[string]bool
 }
 
 type ownDemand struct {
@@ -40,6 +42,7 @@
 	at       time.Time
 	wanted   map[demandKey]float64
 	served   map[demandKey]int
+	rate     rate
 }
 
 func newDemandTable(now time.Time) demandTable {
@@ -48,6 +51,7 @@
 		own:     map[demandKey]*ownDemand{},
 		peers:   map[string]*peerDemand{},
 		weights: map[string]float64{},
+		over:    map[string]bool{},
 	}
 }
 
@@ -142,6 +146,7 @@
 		delta := d.ServedTokens - peer.served[key]
 		peer.served[key] = d.ServedTokens
 		if !first && !q.cfg.IgnorePeers {
+			peer.rate.add(now, float64(delta))
 			q.charge(key, delta)
 		}
 	}
@@ -166,6 +171,7 @@
 	now := q.cfg.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.findOver(now)
 	byModel, instances := q.demandByModel(now)
 	part := q.servedPart(now)
 	shares := make(map[string]float64, len(serving))
@@ -177,6 +183,40 @@
 	return shares
 }
 
+// findOver divides what the fleet serves between the workspaces by weight,
+// and marks those that ask for more than their part.
+func (q *Queue) findOver(now time.Time) {
+	wanted := map[string]float64{}
+	served := 0.0
+	for key, d := range q.demand.own {
+		wanted[key.workspace] += d.wanted.perSecond(now)
+	}
+	for i := range q.classes {
+		served += q.classes[i].served.perSecond(now)
+	}
+	for _, peer := range q.demand.peers {
+		if now.Sub(peer.at) > _demandLife {
+			continue
+		}
+		served += peer.rate.perSecond(now)
+		for key, perSecond := range peer.wanted {
+			wanted[key.workspace] += perSecond
+		}
+	}
+	weights := 0.0
+	for workspace, perSecond := range wanted {
+		if perSecond >= 1 {
+			weights += q.weight(workspace)
+		}
+	}
+	clear(q.demand.over)
+	for workspace, perSecond := range wanted {
+		if perSecond > served*q.weight(workspace)/weights {
+			q.demand.over[workspace] = true
+		}
+	}
+}
+
 // demandSplit is what one workspace asks at one priority, in tokens per
 // second, at this and at all instances.
 type demandSplit struct {
--- a/admission/fair.go
+++ b/admission/fair.go
@@ -129,6 +129,7 @@
 		}
 		r := f.head()
 		r.Floor = floor
+		r.WithinShare = !q.demand.over[r.Workspace]
 		placement := TooLate
 		if !r.isExpired(now) {
 			placement = q.cfg.Place(r)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -98,6 +98,9 @@
 	// Floor is set by the queue when the request goes by the floor of its
 	// priority, so that Place may use the room of higher ones.
 	Floor bool
+	// WithinShare is set by the queue when the workspace asks, over all
+	// instances, for no more than its fair part of what the fleet serves.
+	WithinShare bool
 	// Data belongs to the caller.
 	Data any
 
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -324,6 +324,7 @@
 		Priority:     r.Priority,
 		Slack:        slack,
 		Floor:        r.Floor,
+		WithinShare:  r.WithinShare,
 	})
 	switch decision.Reason {
 	case routing.ReasonNoRoom:
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -61,9 +61,10 @@
 
 // Sweep measures all policies at all loads.
 func Sweep(shape *wire.Shape, loads []float64, options Options) []Row {
-	var rows []Row
+	policies := []Policy{PolicyRoundRobin, PolicyLeastOutstanding, PolicyOwn}
+	rows := make([]Row, 0, len(loads)*len(policies))
 	for _, load := range loads {
-		for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastOutstanding, PolicyOwn} {
+		for _, policy := range policies {
 			rows = append(rows, Run(shape, policy, load, options))
 		}
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -37,8 +37,17 @@
 // The parts of a backend server's places that each priority may fill.
 const (
 	_urgentRoom = 1.0
-	_liveRoom   = 0.95
+	_liveRoom   = 0.88
 	_batchRoom  = 0.75
+	// _overdraft is the part of the places by which requests within the share
+	// of their workspace may go over the instance's own part.
+	_overdraft = 0.15
+	// _maxReading bounds the time that prompts of requests over the share of
+	// their workspace may keep a server reading.
+	_maxReading = 150 * time.Millisecond
+	// _pressedTime is how long a backend server without room for urgent and
+	// live requests takes batch requests only by their floor.
+	_pressedTime = 10 * time.Second
 )
 
 // Request is what Choose needs to know of a request.
@@ -69,6 +78,9 @@
 	Alone bool
 	// Floor lets batch work use the room of live work.
 	Floor bool
+	// WithinShare says that the request's workspace asks for no more than its
+	// fair part of the fleet, so that it may use the reserve.
+	WithinShare bool
 	// Retry takes the request out of the retry budget.
 	Retry bool
 }
@@ -103,8 +115,10 @@
 
 // Ticket is one request's place at a backend server, from Choose to Done.
 type Ticket struct {
-	server    *server
-	began     time.Time
+	server *server
+	began  time.Time
+	// expected is the seconds to the first token, uncorrected.
+	expected  float64
 	occupancy int
 	unread    int
 	reading   bool
@@ -263,13 +277,41 @@
 // hasRoom says whether one more own request keeps within the instance's part
 // of the places that the priority may fill.
 func (t *Table) hasRoom(s *server, r *Request, now time.Time) bool {
-	limit := s.speed.limit(t.cfg.MaxGap, s.slots) * roomOf(r)
+	batch := r.Priority == wire.PriorityBatch
+	if batch && !r.Floor && now.Before(s.pressedUntil) {
+		return false
+	}
+	places := s.speed.limit(t.cfg.MaxGap, s.slots)
+	limit := places * roomOf(r)
+	crowded := float64(s.occupancy(now))+1 > limit
 	if t.cfg.IgnoreShare {
-		return float64(s.occupancy(now))+1 <= limit
+		return !crowded
+	}
+	if !r.WithinShare && s.isReading() {
+		return false
 	}
-
 	// A fraction of a place becomes a whole one in as many report periods.
-	return float64(s.own.count+1) <= s.ownLimit(limit, now)+t.fraction(s)
+	own := s.ownLimit(limit, now) + t.fraction(s)
+	if r.WithinShare && !batch && !crowded {
+		own += max(1, _overdraft*places)
+	}
+	if float64(s.own.count+1) <= own {
+		return true
+	}
+	if !batch {
+		s.pressedUntil = now.Add(_pressedTime)
+	}
+
+	return false
+}
+
+// isReading says that the prompts of own requests, taken for this instance's
+// share of all, keep the server busy for long. Requests that flood then wait,
+// so that the prompts of others are read soon.
+func (s *server) isReading() bool {
+	all := float64(s.unread) / max(s.share, 0.01)
+
+	return all*s.speed.readSeconds > _maxReading.Seconds()
 }
 
 // fraction is a number in [0, 1) that is the same for one report of one
@@ -293,7 +335,7 @@
 	reading := unread * s.speed.readSeconds
 	gap := s.speed.gap(n + 1)
 	output := float64(max(r.OutputTokens, 1))
-	first := gap/2 + reading + float64(s.unread)*s.speed.readSeconds
+	first := 1.5*gap + reading + float64(s.unread)*s.speed.readSeconds
 	w := weighed{
 		server:    s,
 		occupancy: occupancy,
@@ -303,7 +345,7 @@
 		w.adapter = true
 		first += t.adapterSeconds()
 	}
-	w.firstToken = first
+	w.firstToken = first * s.speed.firstFactor
 	// The others wait while the prompt is read, and each step is longer.
 	others := n * (reading + output*s.speed.slope())
 	w.cost = first + output*gap + others
@@ -341,6 +383,7 @@
 		Ticket: &Ticket{
 			server:    s,
 			began:     now,
+			expected:  w.firstToken / s.speed.firstFactor,
 			occupancy: w.occupancy + 1,
 			unread:    unread,
 			reading:   true,
@@ -391,7 +434,7 @@
 
 func roomOf(r *Request) float64 {
 	switch {
-	case r.Floor || r.Priority == wire.PriorityUrgent:
+	case r.Floor || r.WithinShare && r.Priority != wire.PriorityBatch || r.Priority == wire.PriorityUrgent:
 		return _urgentRoom
 	case r.Priority == wire.PriorityBatch:
 		return _batchRoom
--- a/routing/health.go
+++ b/routing/health.go
@@ -95,7 +95,9 @@
 	}
 	ticket.endReading(t)
 	s := ticket.server
-	s.speed.observeRead(float64(ticket.occupancy), float64(ticket.unread), now.Sub(ticket.began).Seconds())
+	seconds := now.Sub(ticket.began).Seconds()
+	s.speed.observeRead(float64(ticket.occupancy), float64(ticket.unread), seconds)
+	s.speed.observeFirst(ticket.expected, seconds)
 	for _, hash := range ticket.prefixes {
 		s.prefixes.add(prefixKey(ticket.seed, hash))
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -46,7 +46,9 @@
 	leavingAt  time.Time
 	gone       bool
 	share      float64
-	own        ownCount
+	// pressedUntil keeps batch requests away for urgent and live ones.
+	pressedUntil time.Time
+	own          ownCount
 	// ownAtReport is how many own requests the last report counted.
 	ownAtReport int
 	// unread are the prompt tokens of own requests without a first token.
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -17,6 +17,16 @@
 	// _learn and _learnBaseline are the weights of one new observation.
 	_learn         = 0.1
 	_learnBaseline = 0.01
+	// _learnFaster and _learnSlower weigh observations of prompts: waiting for
+	// others only lengthens them, so the low ones tell more.
+	_learnFaster = 0.1
+	_learnSlower = 0.01
+	_learnFirst  = 0.05
+	// _maxFirstFactor keeps a server from being given up for good.
+	_maxFirstFactor = 2
+	// _usedSlots is the part of the slots to fill, so that what several
+	// instances send at one moment still finds a slot.
+	_usedSlots = 0.92
 	// _minObservations come before slowness is judged.
 	_minObservations = 8
 	// _slow is how many times slower than its own baseline a server is ejected.
@@ -33,7 +43,10 @@
 	gapFactor   float64
 	gapBaseline float64
 	// readSeconds is the time for one prompt token.
-	readSeconds  float64
+	readSeconds float64
+	// firstFactor corrects the expected time of the first token for what
+	// other instances' requests add.
+	firstFactor  float64
 	observations int
 }
 
@@ -46,6 +59,7 @@
 		slots:       slots,
 		gapFactor:   1,
 		gapBaseline: 1,
+		firstFactor: 1,
 		readSeconds: 1 / (_prefillFactor * rate),
 	}
 }
@@ -69,7 +83,7 @@
 	base := s.gap(0)
 	n := math.Floor((maxGap.Seconds() - base) / s.slope())
 
-	return min(max(n, 1), float64(slots))
+	return min(max(n, 1), math.Ceil(_usedSlots*float64(slots)))
 }
 
 // observeGap learns the seconds between tokens in a batch of n.
@@ -92,8 +106,20 @@
 	if unread < shortest {
 		return
 	}
-	reading := max(seconds-s.gap(n)/2, 0)
-	s.readSeconds += _learn * (reading/unread - s.readSeconds)
+	reading := max(seconds-1.5*s.gap(n), 0)
+	difference := reading/unread - s.readSeconds
+	if difference < 0 {
+		s.readSeconds += _learnFaster * difference
+	} else {
+		s.readSeconds += _learnSlower * min(difference, s.readSeconds)
+	}
+}
+
+// observeFirst learns how long a first token took that was expected in
+// expected seconds.
+func (s *speed) observeFirst(expected, seconds float64) {
+	ratio := min(max(seconds/expected, 1), _maxFirstFactor)
+	s.firstFactor += _learnFirst * (ratio - s.firstFactor)
 }
 
 // isSlow says that the server became much slower than it used to be.
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -193,28 +193,40 @@
 
 		return
 	}
-	budget := b.cfg.ChunkTokens
 	decoding := 0
-	read := 0
-	b.crash = false
 	for _, entry := range b.running {
 		entry.decodes = entry.unread == 0
 		if entry.decodes {
 			decoding++
-
-			continue
-		}
-		entry.chunk = min(entry.unread, budget)
-		budget -= entry.chunk
-		read += entry.chunk
-		if entry.request.Crash && entry.chunk == entry.unread {
-			b.crash = true
 		}
 	}
+	read := b.shareChunk()
 	prefill := time.Duration(float64(read) / b.cfg.PrefillTokensPerSecond * float64(time.Second))
 	b.stepEnd = now.Add(b.cfg.StepBase + time.Duration(decoding)*b.cfg.StepPerRequest + prefill)
 }
 
+// shareChunk lets the prompts of higher priorities be read first, up to the
+// chunk of one step, and returns the tokens to read.
+func (b *Batch) shareChunk() int {
+	const ranks = 3
+	read := 0
+	b.crash = false
+	for rank := range ranks {
+		for _, entry := range b.running {
+			if entry.decodes || priorityRank(entry.request.Priority) != rank {
+				continue
+			}
+			entry.chunk = min(entry.unread, b.cfg.ChunkTokens-read)
+			read += entry.chunk
+			if entry.request.Crash && entry.chunk == entry.unread {
+				b.crash = true
+			}
+		}
+	}
+
+	return read
+}
+
 func (b *Batch) fillSlots(now time.Time) {
 	kept := b.waiting[:0]
 	for _, entry := range b.waiting {
