--- a/routing/health.go
+++ b/routing/health.go
@@ -130,7 +130,7 @@
 		t.learn(ticket, &result, now)
 		t.succeed(s, ticket, now)
 	case OutcomeRefused:
-		t.tell(s, wire.FindingKindRefused)
+		t.tell(s, wire.ServerFindingKindRefused)
 		t.eject(s, now, ReasonLost)
 	case OutcomeBroken:
 		t.eject(s, now, ReasonLost)
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -85,7 +85,7 @@
 
 				return answer, err
 			},
-			Tell: func(peer string, finding wire.Finding) error {
+			Tell: func(peer string, finding wire.ServerFinding) error {
 				return w.send(name, peer, func(to *Suspects) { to.HandleFinding(finding) })
 			},
 			End: func(peer string, end wire.RunEnd) error {
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,7 +23,7 @@
 	Log *event.Log
 	// Tell gets what the table found out about a backend server, to be spread
 	// to the other instances; nil for none. It is called without locks held.
-	Tell func(finding wire.Finding)
+	Tell func(finding wire.ServerFinding)
 	// Seed fixes the random choices.
 	Seed uint64
 	// MaxGap is the longest time between tokens that a batch may grow to; 0
@@ -77,7 +77,7 @@
 	// ejected counts the servers that errors or slowness ejected.
 	ejected int
 	// told are the findings to tell when mu is released.
-	told []wire.Finding
+	told []wire.ServerFinding
 }
 
 // New returns a table without backend servers.
@@ -152,7 +152,7 @@
 }
 
 // ObserveFinding takes another instance's finding.
-func (t *Table) ObserveFinding(finding wire.Finding) {
+func (t *Table) ObserveFinding(finding wire.ServerFinding) {
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -160,7 +160,7 @@
 	if s == nil {
 		return
 	}
-	if finding.Kind == wire.FindingKindLeaving {
+	if finding.Kind == wire.ServerFindingKindLeaving {
 		s.leaving = true
 		s.leavingAt = now
 
@@ -226,7 +226,7 @@
 func (t *Table) setLeaving(s *server, leaving bool, now time.Time) {
 	if leaving && !s.leaving {
 		t.cfg.Log.Write(event.BackendServerLeaving, zap.String("BackendServer", s.name))
-		t.tell(s, wire.FindingKindLeaving)
+		t.tell(s, wire.ServerFindingKindLeaving)
 	}
 	// A report that lags behind a peer's finding doesn't take it back.
 	if !leaving && s.leaving && now.Sub(s.leavingAt) < _leavingHold {
@@ -238,11 +238,11 @@
 	s.leaving = leaving
 }
 
-func (t *Table) tell(s *server, kind wire.FindingKind) {
+func (t *Table) tell(s *server, kind wire.ServerFindingKind) {
 	if t.cfg.Tell == nil {
 		return
 	}
-	t.told = append(t.told, wire.Finding{
+	t.told = append(t.told, wire.ServerFinding{
 		Instance:     t.cfg.Instance,
 		Server:       s.name,
 		Kind:         kind,
--- a/wire/routing.gen.go
+++ b/wire/routing.gen.go
@@ -39,29 +39,6 @@
 	Start int `json:"Start"`
 }
 
-// Finding is what an instance found out about a backend server: that it died, with
-// the requests that ran on it, or that it takes no new work.
-type Finding struct {
-	// Fingerprints are the finder's requests that ran on the server when it died.
-	Fingerprints []int `json:"Fingerprints"`
-
-	// Instance is the finder.
-	Instance string `json:"Instance"`
-
-	// Kind is what was found: a broken stream, a refused connection or the server's
-	// own word.
-	Kind FindingKind `json:"Kind"`
-
-	// Server is the backend server.
-	Server string `json:"Server"`
-}
-
-type FindingKind string
-
-const FindingKindDied FindingKind = "Died"
-const FindingKindLeaving FindingKind = "Leaving"
-const FindingKindRefused FindingKind = "Refused"
-
 // RunEnd tells the home instance of a fingerprint that a run has ended.
 type RunEnd struct {
 	// Completed says that the whole answer came, which clears a suspect.
@@ -77,6 +54,29 @@
 	Instance string `json:"Instance"`
 }
 
+// ServerFinding is what an instance found out about a backend server: that it
+// died, with the requests that ran on it, or that it takes no new work.
+type ServerFinding struct {
+	// Fingerprints are the finder's requests that ran on the server when it died.
+	Fingerprints []int `json:"Fingerprints"`
+
+	// Instance is the finder.
+	Instance string `json:"Instance"`
+
+	// Kind is what was found: a broken stream, a refused connection or the server's
+	// own word.
+	Kind ServerFindingKind `json:"Kind"`
+
+	// Server is the backend server.
+	Server string `json:"Server"`
+}
+
+type ServerFindingKind string
+
+const ServerFindingKindDied ServerFindingKind = "Died"
+const ServerFindingKindLeaving ServerFindingKind = "Leaving"
+const ServerFindingKindRefused ServerFindingKind = "Refused"
+
 // SuspectAnswer is the answer to a SuspectAsk.
 type SuspectAnswer struct {
 	// Deaths is how many deaths of backend servers the request was part of.
