Leave more of each server's places to bursts

Change: floods of live work fill 0.8 of a server's places (0.88 before), batch 0.6 (0.75); a first token expected after half of the slack costs more.

--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -34,6 +34,9 @@
 	// PolicyLeastOutstanding sends each request at once to the server with the
 	// fewest requests of the same instance.
 	PolicyLeastOutstanding Policy = "least outstanding"
+	// PolicyLeastBounded is the same, but refuses a request when the instance
+	// has its even part of the server's slots there already.
+	PolicyLeastBounded Policy = "least outstanding, bounded"
 )
 
 // Options change the product's policy to measure single decisions.
@@ -271,6 +274,12 @@
 		f.send(c, f.roundRobin(c), 0)
 	case PolicyLeastOutstanding:
 		f.send(c, f.leastOutstanding(c), 0)
+	case PolicyLeastBounded:
+		server := f.leastOutstanding(c)
+		c.refused = c.instance.outstanding[server] >= f.engines[server].shape.Slots/f.shape.Instances
+		if !c.refused {
+			f.send(c, server, 0)
+		}
 	}
 }
 
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -61,7 +61,7 @@
 
 // Sweep measures all policies at all loads.
 func Sweep(shape *wire.Shape, loads []float64, options Options) []Row {
-	policies := []Policy{PolicyRoundRobin, PolicyLeastOutstanding, PolicyOwn}
+	policies := []Policy{PolicyRoundRobin, PolicyLeastOutstanding, PolicyLeastBounded, PolicyOwn}
 	rows := make([]Row, 0, len(loads)*len(policies))
 	for _, load := range loads {
 		for _, policy := range policies {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -34,14 +34,20 @@
 	ReasonRetryBudget Reason = "RetryBudget"
 )
 
-// The parts of a backend server's places that each priority may fill.
 const (
+	// The parts of a backend server's places that requests may fill: urgent
+	// ones and those within their workspace's share, other live ones, and
+	// batch ones. What is left of the places meets bursts.
 	_urgentRoom = 1.0
-	_liveRoom   = 0.88
-	_batchRoom  = 0.75
+	_liveRoom   = 0.8
+	_batchRoom  = 0.6
 	// _overdraft is the part of the places by which requests within the share
 	// of their workspace may go over the instance's own part.
 	_overdraft = 0.15
+	// _riskFactor multiplies the cost of a first token expected after the
+	// part _risky of the slack.
+	_risky      = 0.5
+	_riskFactor = 3
 	// _maxReading bounds the time that prompts of requests over the share of
 	// their workspace may keep a server reading.
 	_maxReading = 150 * time.Millisecond
@@ -352,6 +358,9 @@
 	if r.FailureDomain != "" && r.FailureDomain != s.domain {
 		w.cost += t.cfg.DomainPenalty.Seconds()
 	}
+	if r.Slack > 0 && w.firstToken > _risky*r.Slack.Seconds() {
+		w.cost *= _riskFactor
+	}
 	if r.Alone {
 		w.cost = n
 	}
