--- a/admission/demand.go
+++ b/admission/demand.go
@@ -129,7 +129,7 @@
 		}
 		q.demand.peers[report.Instance] = peer
 	}
-	if report.Sequence <= peer.sequence {
+	if q.cfg.IgnorePeers || report.Sequence <= peer.sequence {
 		return
 	}
 	first := peer.sequence == 0
@@ -145,7 +145,7 @@
 		peer.wanted[key] = float64(d.WantedTokensPerSecond)
 		delta := d.ServedTokens - peer.served[key]
 		peer.served[key] = d.ServedTokens
-		if !first && !q.cfg.IgnorePeers {
+		if !first {
 			peer.rate.add(now, float64(delta))
 			q.charge(key, delta)
 		}
--- a/admission/fair.go
+++ b/admission/fair.go
@@ -19,6 +19,8 @@
 	order  [_classes][]*flow
 	tokens [_classes]int
 	drain  rate
+	// earliest is no later than any deadline in the lane; zero for none.
+	earliest time.Time
 	// blocked is set during one dispatch for the classes that found no room.
 	blocked [_classes]bool
 }
@@ -99,6 +101,7 @@
 	}
 	f.requests = append(f.requests, r)
 	f.tokens += r.Tokens
+	l.noteDeadline(r)
 	a.waiting++
 	l.waiting++
 	l.tokens[r.class] += r.Tokens
@@ -313,6 +316,12 @@
 	return nil, nil
 }
 
+func (l *lane) noteDeadline(r *Request) {
+	if !r.Deadline.IsZero() && (l.earliest.IsZero() || r.Deadline.Before(l.earliest)) {
+		l.earliest = r.Deadline
+	}
+}
+
 // compact drops the flows without requests from the order.
 func (l *lane) compact(number int) {
 	l.order[number] = slices.DeleteFunc(l.order[number], func(f *flow) bool {
@@ -346,6 +355,23 @@
 	return r
 }
 
+// take removes the requests for which out holds and returns them in order.
+func (f *flow) take(out func(*Request) bool) []*Request {
+	var taken []*Request
+	f.requests = slices.DeleteFunc(f.requests[f.first:], func(r *Request) bool {
+		if out(r) {
+			taken = append(taken, r)
+
+			return true
+		}
+
+		return false
+	})
+	f.first = 0
+
+	return taken
+}
+
 func (f *flow) remove(r *Request) {
 	i := slices.Index(f.requests, r)
 	f.requests = slices.Delete(f.requests, i, i+1)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -315,23 +315,25 @@
 		return
 	}
 	for _, l := range q.lanes {
-		if l.waiting == 0 {
+		if l.waiting == 0 || l.earliest.IsZero() || !now.After(l.earliest) {
 			continue
 		}
 		q.drain(l, func(r *Request) bool { return r.isExpired(now) }, ReasonExpired, now)
 	}
 }
 
-// drain refuses requests from the heads of the flows while out holds. The
-// deadlines of one flow come nearly in the order of arrival.
+// drain refuses the requests of a lane for which out holds.
 func (q *Queue) drain(l *lane, out func(*Request) bool, reason Reason, now time.Time) {
+	l.earliest = time.Time{}
 	for class := range l.flows {
 		for _, f := range l.order[class] {
-			for f.len() > 0 && out(f.head()) {
-				r := f.pop()
+			for _, r := range f.take(out) {
 				q.forget(l, f, r)
 				q.refuse(r, reason, q.expectedWait(l, r, now), now)
 			}
+			for _, r := range f.requests[f.first:] {
+				l.noteDeadline(r)
+			}
 		}
 		l.compact(class)
 	}
