--- /dev/null
+++ b/configuration/apply.go
@@ -0,0 +1,412 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/settings"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	_maxApplyAttempts = 12
+	_minApplyPause    = 50 * time.Millisecond
+	_maxApplyPause    = 2 * time.Second
+	_maxContentBytes  = 1 << 20
+)
+
+// Change is what an operator wants: subtrees to write as they are, and paths
+// of subtrees to remove. Subtrees that it doesn't name stay as they are.
+type Change struct {
+	Subtrees []wire.Subtree
+	Removed  []string
+}
+
+// Plan is a change against the configuration that the operator has read.
+type Plan struct {
+	// Base is the configuration read.
+	Base wire.Head
+	// Change is what is wanted.
+	Change Change
+	// Differences are what the change does to Base; none means nothing.
+	Differences []Difference
+}
+
+// Result tells what became of a change.
+type Result struct {
+	// Version is the version that has the change in it.
+	Version int
+	// Changed says that this change brought it; otherwise the configuration
+	// was already as wanted.
+	Changed bool
+}
+
+// ConflictError means that another operator has changed a subtree since it
+// was read. Nothing was written.
+type ConflictError struct {
+	// Path is the subtree.
+	Path string
+	// Version is the version that won.
+	Version int
+	// Writer wrote it; empty if it is too long ago.
+	Writer wire.Writer
+}
+
+// Error names the subtree and the version that won.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("configuration: subtree %s was changed by version %d (writer %s); read it again", e.Path, e.Version, e.Writer.ID)
+}
+
+// UnknownError means that a change may or may not have been accepted, or may
+// still be. To apply the same change again is safe.
+type UnknownError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *UnknownError) Error() string {
+	return "configuration: the change may have been accepted: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error {
+	return e.Cause
+}
+
+// Applier brings changes into the store. Its fields must be set, and each
+// Applier needs a WriterID of its own.
+type Applier struct {
+	// Store is the platform's.
+	Store platform.Store
+	// WriterID is unique in all processes at all times.
+	WriterID string
+	// Sleep waits between attempts; it returns early when ctx ends.
+	Sleep func(ctx context.Context, d time.Duration)
+
+	sequence atomic.Int64
+}
+
+// Read returns the configuration and its subtrees.
+func (a *Applier) Read(ctx context.Context) (wire.Head, []wire.Subtree, error) {
+	head, _, err := a.readHead(ctx)
+	if err != nil {
+		return head, nil, err
+	}
+	subtrees := make([]wire.Subtree, 0, len(head.Subtrees))
+	for _, ref := range head.Subtrees {
+		subtree, _, err := a.readSubtree(ctx, ref)
+		if err != nil {
+			return head, nil, err
+		}
+		subtrees = append(subtrees, subtree)
+	}
+
+	return head, subtrees, nil
+}
+
+// Plan reads the configuration and compares the change with it. It also
+// checks the merged result; its error is of type settings.Problems if that
+// is not acceptable.
+func (a *Applier) Plan(ctx context.Context, change Change) (Plan, error) {
+	head, _, err := a.readHead(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := Plan{
+		Base:   head,
+		Change: change,
+	}
+	for path, content := range wanted(change) {
+		ref := refOf(head, path)
+		if ref.Digest == digestOf(content) {
+			continue
+		}
+		before := ""
+		if ref.Digest != "" {
+			if _, before, err = a.readSubtree(ctx, ref); err != nil {
+				return Plan{}, err
+			}
+		}
+		plan.Differences = append(plan.Differences, differences(path, before, content)...)
+	}
+	slices.SortFunc(plan.Differences, func(x, y Difference) int {
+		return strings.Compare(x.Subtree+x.Path, y.Subtree+y.Path)
+	})
+
+	return plan, a.check(ctx, head, change)
+}
+
+// Commit makes a plan the configuration, all of it or nothing. Changes that
+// others made to other subtrees since the plan are kept. It fails with a
+// *ConflictError, with settings.Problems if the merged result is not
+// acceptable, with an *UnknownError, or with the store's error; after all but
+// the third nothing was accepted.
+func (a *Applier) Commit(ctx context.Context, plan Plan) (Result, error) {
+	c := commit{
+		applier: a,
+		plan:    plan,
+		seen:    plan.Base.Version,
+		wanted:  wanted(plan.Change),
+		writer: wire.Writer{
+			ID:       a.WriterID,
+			Sequence: int(a.sequence.Add(1)),
+		},
+	}
+	pause := _minApplyPause
+	var err error
+	for range _maxApplyAttempts {
+		var result Result
+		var done bool
+		if result, done, err = c.attempt(ctx); done {
+			return result, err
+		}
+		a.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, _maxApplyPause)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if c.doubtful > 0 {
+		return Result{}, &UnknownError{Cause: err}
+	}
+
+	return Result{}, eris.Wrap(err, "configuration: gave up, nothing was accepted")
+}
+
+// commit is one run of Commit.
+type commit struct {
+	applier *Applier
+	plan    Plan
+	wanted  map[string]string
+	writer  wire.Writer
+	// stored says that the contents are in the store.
+	stored bool
+	// seen is the newest version read. An older reading proves nothing: the
+	// store may serve old ones.
+	seen int
+	// doubtful is the version of an update whose reply was lost; 0 means none.
+	doubtful int
+}
+
+// attempt tries to update the head once, and reports whether the matter is
+// settled. If not, the error says why.
+func (c *commit) attempt(ctx context.Context) (Result, bool, error) {
+	head, object, err := c.applier.readHead(ctx)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if head.Version < c.seen {
+		return Result{}, false, eris.Errorf("configuration: the store showed version %d and then %d", c.seen, head.Version)
+	}
+	c.seen = head.Version
+	if change, ok := changeBy(head, c.writer); ok {
+		return Result{
+			Version: change.Version,
+			Changed: true,
+		}, true, nil
+	}
+	if c.doubtful > 0 && head.Version >= c.doubtful+_maxRecent {
+		return Result{}, true, &UnknownError{Cause: eris.Errorf("version %d is too far on to tell", head.Version)}
+	}
+	if c.isDone(head) {
+		return Result{Version: head.Version}, true, nil
+	}
+	if err := c.conflict(head); err != nil {
+		return Result{}, true, err
+	}
+	if err := c.applier.check(ctx, head, c.plan.Change); err != nil {
+		var problems settings.Problems
+
+		return Result{}, errors.As(err, &problems), err
+	}
+	if err := c.storeContents(ctx); err != nil {
+		return Result{}, false, err
+	}
+	next := c.next(head)
+	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encodeHead(next), object.Version)
+	switch platform.CodeOf(err) {
+	case "":
+		return Result{
+			Version: next.Version,
+			Changed: true,
+		}, true, nil
+	case platform.CodeUnknown:
+		c.doubtful = next.Version
+	default:
+	}
+
+	return Result{}, false, err
+}
+
+// isDone reports whether the head is already as wanted.
+func (c *commit) isDone(head wire.Head) bool {
+	for path, content := range c.wanted {
+		if refOf(head, path).Digest != digestOf(content) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// conflict compares the subtrees of the plan with those of the head.
+func (c *commit) conflict(head wire.Head) error {
+	for path, content := range c.wanted {
+		ref := refOf(head, path)
+		if ref == refOf(c.plan.Base, path) || ref.Digest == digestOf(content) {
+			continue
+		}
+		change := lastChange(head, path)
+
+		return &ConflictError{
+			Path:    path,
+			Version: change.Version,
+			Writer:  change.Writer,
+		}
+	}
+
+	return nil
+}
+
+// storeContents puts the contents under their digests. One that exists
+// already is the same by its name.
+func (c *commit) storeContents(ctx context.Context) error {
+	if c.stored {
+		return nil
+	}
+	for _, content := range c.wanted {
+		if content == "" {
+			continue
+		}
+		_, err := c.applier.Store.Put(ctx, KindSubtree, Digest(content), content, 0)
+		if err != nil && platform.CodeOf(err) != platform.CodeConflict {
+			return err
+		}
+	}
+	c.stored = true
+
+	return nil
+}
+
+// next is the head with the change in it.
+func (c *commit) next(head wire.Head) wire.Head {
+	version := head.Version + 1
+	next := wire.Head{
+		Version:  version,
+		Writer:   c.writer,
+		Subtrees: slices.Clone(head.Subtrees),
+		Recent:   slices.Clone(head.Recent),
+	}
+	change := wire.HeadChange{
+		Version: version,
+		Writer:  c.writer,
+	}
+	for path, content := range c.wanted {
+		digest := digestOf(content)
+		if refOf(head, path).Digest == digest {
+			continue
+		}
+		change.Paths = append(change.Paths, path)
+		next.Subtrees = slices.DeleteFunc(next.Subtrees, func(ref wire.SubtreeRef) bool { return ref.Path == path })
+		if content != "" {
+			next.Subtrees = append(next.Subtrees, wire.SubtreeRef{
+				Path:   path,
+				Digest: digest,
+				Since:  version,
+			})
+		}
+	}
+	slices.Sort(change.Paths)
+	slices.SortFunc(next.Subtrees, func(a, b wire.SubtreeRef) int { return strings.Compare(a.Path, b.Path) })
+	next.Recent = append(next.Recent, change)
+	next.Recent = next.Recent[max(0, len(next.Recent)-_maxRecent):]
+
+	return next
+}
+
+func (a *Applier) readHead(ctx context.Context) (wire.Head, wire.Object, error) {
+	object, err := a.Store.Get(ctx, KindHead, HeadName)
+	head, err := decodeHead(object, err)
+
+	return head, object, err
+}
+
+func (a *Applier) readSubtree(ctx context.Context, ref wire.SubtreeRef) (wire.Subtree, string, error) {
+	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	if err != nil {
+		return wire.Subtree{}, "", err
+	}
+	if Digest(object.Value) != ref.Digest {
+		return wire.Subtree{}, "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
+	}
+	subtree, err := settings.DecodeSubtree(ref.Path, []byte(object.Value))
+
+	return subtree, object.Value, err
+}
+
+// check resolves the configuration that the change makes out of a head.
+func (a *Applier) check(ctx context.Context, head wire.Head, change Change) error {
+	contents := wanted(change)
+	merged := slices.Clone(change.Subtrees)
+	for _, ref := range head.Subtrees {
+		if _, named := contents[ref.Path]; named {
+			continue
+		}
+		subtree, _, err := a.readSubtree(ctx, ref)
+		if err != nil {
+			return err
+		}
+		merged = append(merged, subtree)
+	}
+	_, problems := settings.Resolve(merged)
+	for path, content := range contents {
+		if content == "" {
+			continue
+		}
+		// What instances can't read must not be accepted.
+		var unreadable settings.Problems
+		if _, err := settings.DecodeSubtree(path, []byte(content)); errors.As(err, &unreadable) {
+			problems = append(problems, unreadable...)
+		}
+		if len(content) > _maxContentBytes {
+			problems = append(problems, settings.Problem{
+				File:   path,
+				Path:   "/",
+				Reason: fmt.Sprintf("%d bytes, more than the store's %d", len(content), _maxContentBytes),
+			})
+		}
+	}
+
+	return problems.Err()
+}
+
+// wanted are the contents by path; an empty one is to be removed.
+func wanted(change Change) map[string]string {
+	contents := map[string]string{}
+	for _, path := range change.Removed {
+		contents[path] = ""
+	}
+	for _, subtree := range change.Subtrees {
+		contents[subtree.Path] = settings.Encode(subtree)
+	}
+
+	return contents
+}
+
+// digestOf is the digest of a content, and empty for none.
+func digestOf(content string) string {
+	if content == "" {
+		return ""
+	}
+
+	return Digest(content)
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -77,16 +77,43 @@
 }
 
 // Encode returns the canonical JSON of a subtree: the same bytes for the same
-// content.
+// content, which DecodeSubtree takes if the subtree is valid.
 func Encode(subtree wire.Subtree) string {
 	content, err := json.Marshal(subtree)
 	if err != nil {
 		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
 	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(content))
+	if err != nil {
+		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
+	}
+	dropEmpty(doc)
+	content, err = json.Marshal(doc)
+	if err != nil {
+		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
+	}
 
 	return string(content)
 }
 
+// dropEmpty removes lists without items, so that a list that is nil and one
+// that is empty are the same.
+func dropEmpty(doc any) {
+	switch value := doc.(type) {
+	case map[string]any:
+		for name, item := range value {
+			if list, ok := item.([]any); item == nil || ok && len(list) == 0 {
+				delete(value, name)
+			}
+			dropEmpty(item)
+		}
+	case []any:
+		for _, item := range value {
+			dropEmpty(item)
+		}
+	}
+}
+
 // decode checks content against a definition of the schema, fills in the
 // defaults and returns the typed value.
 func decode[T any](definition, file string, content []byte) (T, Problems) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -62,6 +62,12 @@
 	if diff := cmp.Diff(want, snapshot.Workspaces["desk"]); diff != "" {
 		t.Errorf("workspace (-want +got):\n%s", diff)
 	}
+	for _, subtree := range decodeAll(t, _team, _root, _parent) {
+		again, err := DecodeSubtree("again", []byte(Encode(subtree)))
+		if diff := cmp.Diff(subtree, again); diff != "" || err != nil {
+			t.Errorf("%v: encoded and decoded (-want +got):\n%s", err, diff)
+		}
+	}
 	wantRoute := wire.Route{
 		Path:                "/services/print",
 		Service:             "print",
