--- a/order/lease.go
+++ b/order/lease.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -44,6 +45,7 @@
 	checked    time.Time
 	ledger     *Ledger
 	urgent     atomic.Bool
+	status     atomic.Pointer[Status]
 	nextTry    time.Time
 	nextReport time.Time
 	unwanted   time.Time
@@ -125,7 +127,7 @@
 	latest := s.Timer.Now().Add(s.Options.SendWindow + s.Options.ArrivalBound)
 	for _, intent := range lease.Intents {
 		if !s.Guards.IntentsForgotten {
-			s.ledger.Intend(orderOf(intent), latest)
+			s.ledger.Inherit(orderOf(intent), latest)
 		}
 	}
 	s.Log.Write(event.OrderLeaseTaken, zap.String("BackendServer", s.settings.Name),
@@ -217,7 +219,6 @@
 	if err != nil {
 		panic("order: encode a lease: " + err.Error())
 	}
-	s.writes.Add(1)
 	version, err := s.Store.Put(ctx, _kind, s.settings.Name, string(value), s.version)
 	switch platform.CodeOf(err) {
 	case "":
@@ -244,12 +245,20 @@
 }
 
 func (s *server) lose(holder string) {
+	s.count("LeasesLost")
 	s.setHeld(false)
 	s.nextTry = s.Timer.Now().Add(s.Options.RecheckPeriod)
 	s.Log.Write(event.OrderLeaseLost, zap.String("BackendServer", s.settings.Name), zap.String("Holder", holder))
 }
 
 func (s *server) setHeld(held bool) {
+	if held != s.held {
+		change := int64(-1)
+		if held {
+			change = 1
+		}
+		metrics.GetOrRegisterCounter("Order.Leases", s.Metrics).Inc(change)
+	}
 	s.held = held
 	s.holds.Store(held)
 }
--- a/order/ledger.go
+++ b/order/ledger.go
@@ -40,6 +40,11 @@
 	latest time.Time
 	// confirmed says that the engine answered the order or showed its effect.
 	confirmed bool
+	// inherited says that a predecessor recorded the order. When it was sent is
+	// not known for certain, as the predecessor may have been paused just
+	// before; it is settled only after the engine has answered it, since then
+	// the engine takes it no more than once.
+	inherited bool
 	// sent counts sendings, and nextSend is when the next may be.
 	sent     int
 	nextSend time.Time
@@ -66,15 +71,23 @@
 	})
 }
 
+// Inherit charges an order that a predecessor recorded.
+func (l *Ledger) Inherit(order wire.Order, latest time.Time) {
+	l.Intend(order, latest)
+	l.entries[len(l.entries)-1].inherited = true
+}
+
 // Observe takes in a report that was asked for at asked. An order whose latest
 // arrival was before asked is settled: the report shows what became of it.
 func (l *Ledger) Observe(report wire.LoadReport, asked time.Time) {
 	l.report = report
 	l.asked = asked
-	l.entries = slices.DeleteFunc(l.entries, func(e *ledgerEntry) bool { return asked.After(e.latest) })
+	l.entries = slices.DeleteFunc(l.entries, func(e *ledgerEntry) bool {
+		return asked.After(e.latest) && (e.confirmed || !e.inherited)
+	})
 	for _, e := range l.entries {
 		_, resident := l.resident(keyOfOrder(e.order))
-		if resident == (e.order.Action == wire.OrderActionLoad) && e.sent > 0 {
+		if resident == (e.order.Action == wire.OrderActionLoad) && e.sent > 0 && !e.inherited {
 			e.confirmed = true
 		}
 	}
--- a/order/manager.go
+++ b/order/manager.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
@@ -90,9 +91,11 @@
 	Log     *event.Log
 	Options Options
 	Guards  Guards
+	// Metrics counts orders and leases under Order; nil means the default
+	// registry.
+	Metrics metrics.Registry
 
 	orders   atomic.Int64
-	writes   atomic.Int64
 	mu       sync.Mutex
 	servers  map[string]*server
 	adapters map[string]map[string]time.Time
@@ -220,9 +223,37 @@
 	return true
 }
 
-// Writes is the number of store writes so far.
-func (m *Manager) Writes() int {
-	return int(m.writes.Load())
+// Status tells operators which servers' orders this instance gives.
+type Status struct {
+	Server string
+	Fence  int
+	// InDoubt is how many orders may still arrive.
+	InDoubt int
+	// Asked is when the server's last report was asked for.
+	Asked time.Time
+	// Charged is the memory that is or may come to be in use, in bytes, by
+	// accelerator.
+	Charged map[string]int
+}
+
+// Status is this instance's part of the orders, ordered by server, as of the
+// last step on each.
+func (m *Manager) Status() []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Status
+	for _, s := range m.servers {
+		if status := s.status.Load(); status != nil && s.holds.Load() {
+			list = append(list, *status)
+		}
+	}
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Server, b.Server) })
+
+	return list
+}
+
+func (m *Manager) count(name string) {
+	metrics.GetOrRegisterCounter("Order."+name, m.Metrics).Inc(1)
 }
 
 func (m *Manager) wake() {
--- a/order/reconcile.go
+++ b/order/reconcile.go
@@ -35,12 +35,28 @@
 	if len(due) > 0 || settled {
 		s.send(ctx, due)
 	}
+	s.noteStatus(asked)
 	s.nextReport = t.now.Add(s.Options.IdleReportPeriod)
 	if updates > 0 || len(s.ledger.entries) > 0 || slices.ContainsFunc(places, unfinished) {
 		s.nextReport = t.now.Add(s.Options.ReportPeriod)
 	}
 }
 
+// noteStatus keeps what Status shows.
+func (s *server) noteStatus(asked time.Time) {
+	status := &Status{
+		Server:  s.settings.Name,
+		Fence:   s.fence,
+		InDoubt: len(s.ledger.entries),
+		Asked:   asked,
+		Charged: make(map[string]int, len(s.settings.Accelerators)),
+	}
+	for _, a := range s.settings.Accelerators {
+		status.Charged[a.Name] = s.ledger.Charged(a.Name)
+	}
+	s.status.Store(status)
+}
+
 // observe tells the catalog which copies serve, which are gone, and which
 // stand here without being planned. It returns the number of updates, of which
 // it makes a few at a time.
@@ -132,7 +148,7 @@
 func (s *server) resends(now time.Time) []*ledgerEntry {
 	var due []*ledgerEntry
 	for _, e := range s.ledger.entries {
-		if !e.confirmed && e.sent < _maxSends && !now.Before(e.nextSend) {
+		if !e.confirmed && (e.inherited || e.sent < _maxSends) && !now.Before(e.nextSend) {
 			due = append(due, e)
 		}
 	}
@@ -253,6 +269,7 @@
 	for _, e := range due {
 		now := s.Timer.Now()
 		if now.Sub(begun) > s.Options.SendWindow && !s.Guards.NoClockCheck {
+			s.count("TooLate")
 			s.Log.Write(event.OrderTooLate, s.fields(e)...)
 
 			return
@@ -263,12 +280,14 @@
 		// The process may have been paused before the order left.
 		now = s.Timer.Now()
 		e.latest = later(e.latest, now.Add(s.Options.ArrivalBound))
-		e.nextSend = now.Add(_retryPeriod)
+		e.nextSend = now.Add(min(_retryPeriod<<min(e.sent-1, _maxSends), s.Options.RecheckPeriod))
 		if err != nil {
+			s.count("Unconfirmed")
 			s.Log.Write(event.OrderUnconfirmed, append(s.fields(e), zap.Error(err))...)
 
 			continue
 		}
+		s.count(string(result.Status))
 		s.Log.Write(event.OrderSent, append(s.fields(e), zap.String("Status", string(result.Status)), zap.String("Reason", result.Reason))...)
 		s.confirm(ctx, e, result)
 		if !s.held {
--- a/placement/catalog.go
+++ b/placement/catalog.go
@@ -67,7 +67,9 @@
 	listed := map[string]bool{}
 	for _, object := range list.Objects {
 		listed[object.Name] = true
-		c.take(object)
+		if object.Version > c.objects[object.Name].version {
+			c.take(object)
+		}
 	}
 	for model, e := range c.objects {
 		if !listed[model] && e.version <= list.Version {
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -18,7 +20,10 @@
 const (
 	_planKey    = "placement"
 	_planPeriod = time.Second
-	_followGap  = time.Second
+	// _standbyPeriod is the time between two looks of an instance that doesn't
+	// plan.
+	_standbyPeriod = 5 * time.Second
+	_followGap     = time.Second
 	// _settleTime is how long a started instance gathers its view before it
 	// plans.
 	_settleTime = 10 * time.Second
@@ -44,8 +49,12 @@
 	Demand func() map[string]float64
 	Timer  *timer.Service
 	Log    *event.Log
+	// Metrics counts steps under Placement; nil means the default registry.
+	Metrics metrics.Registry
 
 	started  time.Time
+	observed time.Time
+	mu       sync.Mutex
 	unplaced []Unplaced
 	tick     chan time.Time
 	cancel   context.CancelFunc
@@ -81,6 +90,14 @@
 	if !m.Catalog.Loaded() {
 		return
 	}
+	if m.started.IsZero() {
+		m.started = now
+	}
+	standby := now.Sub(m.started) < _settleTime || Preferred(_planKey, m.Members()) != m.Name
+	if standby && now.Sub(m.observed) < _standbyPeriod {
+		return
+	}
+	m.observed = now
 	in := Input{
 		Fleet:    m.Fleet(),
 		Presence: m.Presence(),
@@ -88,10 +105,7 @@
 		Demand:   m.Demand(),
 		Now:      now,
 	}
-	if m.started.IsZero() {
-		m.started = now
-	}
-	if now.Sub(m.started) < _settleTime || Preferred(_planKey, m.Members()) != m.Name {
+	if standby {
 		m.Planner.Observe(in)
 
 		return
@@ -146,6 +160,7 @@
 		m.Log.Write(event.PlacementOvertaken, fields...)
 	default:
 		m.Log.Write(event.PlacementDecided, fields...)
+		metrics.GetOrRegisterCounter("Placement.Steps."+string(step.Action)+"."+string(step.Reason), m.Metrics).Inc(1)
 	}
 
 	return written
@@ -186,6 +201,9 @@
 			m.Log.Write(event.PlacementNoRoom, zap.String("Model", u.Model), zap.String("Reason", string(u.Reason)))
 		}
 	}
+	metrics.GetOrRegisterGauge("Placement.Unplaced", m.Metrics).Update(int64(len(m.Planner.Unplaced())))
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.unplaced = m.Planner.Unplaced()
 }
 
