Exchange demand once a second, and change one server in the index alone

Cause: four reports a second of 75 entries to five instances are 45 KB/s, over the budget of 21 KB/s; each change of a server's models rebuilt the whole index. Change: the experiment exchanges once a second; Table moves one server.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -11,7 +11,7 @@
 )
 
 // _demandLife is how long another instance's report counts.
-const _demandLife = 3 * time.Second
+const _demandLife = 5 * time.Second
 
 // demandKey is what one workspace asks of one model at one priority.
 type demandKey struct {
@@ -79,8 +79,8 @@
 	return d
 }
 
-// Report is what the other instances should know, to be sent to them every
-// few hundred milliseconds.
+// Report is what the other instances should know, to be sent to them about
+// once a second.
 func (q *Queue) Report() wire.DemandReport {
 	now := q.cfg.Clock.Now()
 	q.mu.Lock()
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	_exchangePeriod = 250 * time.Millisecond
+	_exchangePeriod = time.Second
 	_adapterLoad    = 8 * time.Millisecond
 	// _drain is the time after the last arrival in which requests may end.
 	_drain = 20 * time.Second
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -222,7 +222,7 @@
 }
 
 // _maxSample is the most candidates that one choice weighs.
-const _maxSample = 64
+const _maxSample = 16
 
 // sample returns at most cfg.Sample of the servers, a random run of them.
 func (t *Table) sample(servers []*server) []*server {
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,7 +49,7 @@
 	// CutOff makes the choice random among the candidates whose cost is at most
 	// CutOff times the best; 0 means 1.05.
 	CutOff float64
-	// Sample is how many random candidates are weighed; 0 means 16.
+	// Sample is how many random candidates are weighed, at most 16; 0 means 16.
 	Sample int
 	// DomainPenalty is the cost of leaving the request's failure domain; 0
 	// means 3 ms.
@@ -135,9 +137,13 @@
 	residentsChanged := !slices.Equal(s.report.Residents, report.Residents)
 	s.setReport(report, now, t.cfg.ReportLag)
 	t.setLeaving(s, report.Leaving, now)
-	if residentsChanged {
-		s.setResidents(report.Residents)
-		t.rebuildIndex()
+	if !residentsChanged {
+		return
+	}
+	before := s.models
+	s.setResidents(report.Residents)
+	if !maps.Equal(before, s.models) {
+		t.moveInIndex(s, before)
 	}
 }
 
@@ -223,6 +229,25 @@
 	}
 }
 
+// moveInIndex lists one server under its models instead of those before. The
+// lists are replaced, not changed, and stay in the order of names.
+func (t *Table) moveInIndex(s *server, before map[modelKey]bool) {
+	for key := range before {
+		if !s.models[key] {
+			t.byModel[key] = slices.DeleteFunc(slices.Clone(t.byModel[key]), func(other *server) bool { return other == s })
+		}
+	}
+	for key := range s.models {
+		if before[key] {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(t.byModel[key], s.name, func(other *server, name string) int {
+			return strings.Compare(other.name, name)
+		})
+		t.byModel[key] = slices.Insert(slices.Clone(t.byModel[key]), at, s)
+	}
+}
+
 func (t *Table) setLeaving(s *server, leaving bool, now time.Time) {
 	if leaving && !s.leaving {
 		t.cfg.Log.Write(event.BackendServerLeaving, zap.String("BackendServer", s.name))
