Log refusals, and weigh peers' findings against own answers

Cause: an instance whose own network fails would find all backend servers lost and have its peers eject them too; refusals left no log line; an adapter's version was not looked at. Change: a server that answered here within the last second isn't ejected by another instance's finding; the queue logs what it doesn't run; Request.AdapterVersion. Conclusion: TestChoose has the case.

--- a/admission/fair.go
+++ b/admission/fair.go
@@ -169,7 +169,7 @@
 	q.demand.serve(r)
 	r.state = _left
 	q.outcomes = append(q.outcomes, delivery{
-		deliver: r.deliver,
+		request: r,
 		outcome: Outcome{
 			Kind:   Dispatched,
 			Waited: now.Sub(r.since),
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -22,6 +22,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
@@ -140,6 +143,8 @@
 	Start int
 	// Clock gives the time.
 	Clock *timer.Service
+	// Log gets the refusals; nil for none.
+	Log *event.Log
 	// Place reserves a place for a request, or says why there is none. It is
 	// called with the queue locked and must not call the queue.
 	Place func(r *Request) Placement
@@ -177,7 +182,7 @@
 }
 
 type delivery struct {
-	deliver func(Outcome)
+	request *Request
 	outcome Outcome
 }
 
@@ -350,7 +355,7 @@
 		retryAfter = min(max(wait, _shortestRetry), _longestRetry)
 	}
 	q.outcomes = append(q.outcomes, delivery{
-		deliver: r.deliver,
+		request: r,
 		outcome: Outcome{
 			Kind:       NotRun,
 			Reason:     reason,
@@ -365,10 +370,24 @@
 	q.outcomes = nil
 	q.mu.Unlock()
 	for _, d := range outcomes {
-		d.deliver(d.outcome)
+		if d.outcome.Kind == NotRun {
+			q.logRefusal(d.request, &d.outcome)
+		}
+		d.request.deliver(d.outcome)
 	}
 }
 
+func (q *Queue) logRefusal(r *Request, o *Outcome) {
+	q.cfg.Log.Write(event.RequestNotRun,
+		zap.String("Workspace", r.Workspace),
+		zap.String("Model", r.Model),
+		zap.String("Priority", string(r.Priority)),
+		zap.String("Reason", string(o.Reason)),
+		zap.Duration("Waited", o.Waited),
+		zap.Duration("RetryAfter", o.RetryAfter),
+	)
+}
+
 func classOf(priority wire.Priority) int {
 	switch priority {
 	case wire.PriorityUrgent:
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -58,11 +58,13 @@
 
 // Request is what Choose needs to know of a request.
 type Request struct {
-	// Model, Adapter and Version name what it calls; an empty adapter is the
-	// model itself, an empty version is any.
-	Model   string
-	Adapter string
-	Version string
+	// Model and Version name the model that it calls, Adapter and
+	// AdapterVersion the adapter on it; an empty adapter is the model itself,
+	// an empty version is any.
+	Model          string
+	Version        string
+	Adapter        string
+	AdapterVersion string
 	// PrefixHashes are the hashes of its prompt's prefixes of one, two, three
 	// and so on blocks.
 	PrefixHashes []int
@@ -416,7 +418,7 @@
 	return s.adapters[adapterKey{
 		model:   r.Model,
 		adapter: r.Adapter,
-		version: "",
+		version: r.AdapterVersion,
 	}]
 }
 
--- a/routing/health.go
+++ b/routing/health.go
@@ -95,6 +95,7 @@
 	}
 	ticket.endReading(t)
 	s := ticket.server
+	s.answeredAt = now
 	seconds := now.Sub(ticket.began).Seconds()
 	s.speed.observeRead(float64(ticket.occupancy), float64(ticket.unread), seconds)
 	s.speed.observeFirst(ticket.expected, seconds)
@@ -171,6 +172,7 @@
 func (t *Table) succeed(s *server, ticket *Ticket, now time.Time) {
 	h := &s.health
 	h.errors = 0
+	s.answeredAt = now
 	if !h.ejected || !ticket.probe {
 		return
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -11,6 +11,9 @@
 	// _leavingHold is how long a finding that a backend server leaves outweighs
 	// its own reports.
 	_leavingHold = 5 * time.Second
+	// _answerLife is how long an own answer outweighs another instance's finding
+	// that the backend server is lost, which may be that instance's own fault.
+	_answerLife = time.Second
 	// _ownPeriod is the time between samples of the own outstanding requests.
 	_ownPeriod = 50 * time.Millisecond
 	// _ownSamples is how many samples are kept.
@@ -45,6 +48,8 @@
 	leaving    bool
 	leavingAt  time.Time
 	gone       bool
+	// answeredAt is when an own request last got an answer.
+	answeredAt time.Time
 	share      float64
 	// pressedUntil keeps batch requests away for urgent and live ones.
 	pressedUntil time.Time
--- a/routing/table.go
+++ b/routing/table.go
@@ -172,7 +172,7 @@
 
 		return
 	}
-	if !s.health.ejected {
+	if !s.health.ejected && now.Sub(s.answeredAt) > _answerLife {
 		t.eject(s, now, ReasonPeer)
 	}
 }
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -151,6 +151,17 @@
 			},
 			want: want{Server: "s2", Reason: ReasonBest},
 		},
+		{
+			name: "lost servers by peers' findings, but not one that answers here",
+			before: func(table *Table, _ *timer.Service) {
+				d := table.Choose(Request{Model: "m", Only: "s1"})
+				table.Done(d.Ticket, Result{Outcome: OutcomeOK})
+				for i := range 3 {
+					table.ObserveFinding(wire.ServerFinding{Server: fmt.Sprintf("s%d", i), Kind: wire.ServerFindingKindRefused})
+				}
+			},
+			want: want{Server: "s1", Reason: ReasonBest},
+		},
 		{
 			name: "servers that the platform doesn't list any more",
 			before: func(table *Table, _ *timer.Service) {
