--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -45,6 +45,9 @@
 	unrelated bool
 	crashes   int
 	allowed   int
+	// diesAt is the step in which instance i0 dies; 0 for never. The others'
+	// lists of instances lag by 2 s.
+	diesAt int
 	// heldInnocents are innocents that were refused, delayed those that waited.
 	heldInnocents map[int]bool
 	delayed       map[int]bool
@@ -229,6 +232,30 @@
 	return again
 }
 
+// dieInstance cuts instance i0 off with its runs when its step comes, and
+// takes it off the lists later.
+func (w *crashWorld) dieInstance(step int) {
+	const lag = 200
+	if step == w.diesAt {
+		w.apart = func(from, to string) bool { return from == "i0" || to == "i0" }
+		w.running = slices.DeleteFunc(w.running, func(r *crashRun) bool { return r.instance == 0 })
+	}
+	if step == w.diesAt+lag {
+		for _, s := range w.instances {
+			s.SetPeers([]string{"i1", "i2", "i3", "i4", "i5"})
+		}
+	}
+}
+
+// liveInstance is a random instance that lives.
+func (w *crashWorld) liveInstance(step int) int {
+	if w.diesAt > 0 && step >= w.diesAt {
+		return 1 + w.random.IntN(_instances-1)
+	}
+
+	return w.random.IntN(_instances)
+}
+
 // play sends the crashing request from three callers, each again a moment
 // after its failure and at any instance, and now and then to all instances
 // at once, among innocents of which broken ones are sent again.
@@ -240,6 +267,9 @@
 		if w.crashes > w.allowed {
 			return
 		}
+		if w.diesAt > 0 {
+			w.dieInstance(i)
+		}
 		if w.unrelated && w.random.IntN(200) == 0 {
 			waiting = append(waiting, w.kill(w.aliveServer())...)
 		}
@@ -255,7 +285,7 @@
 		}
 		rest := waiting[:0:0]
 		for _, b := range waiting {
-			if !w.start(w.random.IntN(_instances), b) && b != _crash && !w.heldInnocents[b] {
+			if !w.start(w.liveInstance(i), b) && b != _crash && !w.heldInnocents[b] {
 				rest = append(rest, b)
 			}
 		}
@@ -273,6 +303,7 @@
 		name      string
 		loss      float64
 		unrelated bool
+		dies      bool
 		apart     func(from, to string) bool
 		unguarded bool
 		allowed   int
@@ -282,6 +313,7 @@
 		{name: "a tenth of the messages lost", loss: 0.1, allowed: 2},
 		{name: "a quarter of the messages lost", loss: 0.25, allowed: 2},
 		{name: "other deaths beside, a tenth lost", loss: 0.1, unrelated: true, allowed: 2},
+		{name: "an instance dies, a tenth lost", loss: 0.1, dies: true, allowed: 2},
 		{name: "two sides apart", apart: split, allowed: 4},
 		{name: "guard off", unguarded: true, allowed: 2, wantOver: true},
 	}
@@ -296,6 +328,9 @@
 				if tt.apart != nil {
 					w.apart = tt.apart
 				}
+				if tt.dies {
+					w.diesAt = 50 + w.random.IntN(150)
+				}
 				w.play(1000)
 				most = max(most, w.crashes)
 				crashes += w.crashes
