Keep an even part for live instances that are not heard

Change: Queue.SetInstances; shares are scaled by the part of the live instances that were heard. Conclusion: instances that can't talk share by halves and not by all.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -23,10 +23,11 @@
 // demandTable knows what the callers of each instance ask for.
 type demandTable struct {
 	sequence int
-	started  time.Time
-	own      map[demandKey]*ownDemand
-	peers    map[string]*peerDemand
-	weights  map[string]float64
+	// instances is the number of live ones, this one included.
+	instances int
+	own       map[demandKey]*ownDemand
+	peers     map[string]*peerDemand
+	weights   map[string]float64
 	// over holds the workspaces that ask for more than their fair part.
 	over map[string]bool
 }
@@ -45,9 +46,8 @@
 	rate     rate
 }
 
-func newDemandTable(now time.Time) demandTable {
+func newDemandTable() demandTable {
 	return demandTable{
-		started: now,
 		own:     map[demandKey]*ownDemand{},
 		peers:   map[string]*peerDemand{},
 		weights: map[string]float64{},
@@ -162,6 +162,14 @@
 	a.virtual = min(a.virtual+float64(tokens)/max(a.weight, 1), q.classes[key.class].virtual+_maxLead)
 }
 
+// SetInstances sets the number of live instances, this one included. Those
+// that are not heard keep an even part of the backend servers.
+func (q *Queue) SetInstances(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.demand.instances = n
+}
+
 // Shares is, for each backend server with the models that it serves, the part
 // of its places that is due to this instance while the server is full: each
 // workspace that asks for one of its models is given its fair part of the
@@ -174,10 +182,12 @@
 	q.findOver(now)
 	byModel, instances := q.demandByModel(now)
 	part := q.servedPart(now)
+	// Instances that live but can't be heard are taken to use an even part.
+	heard := min(1, float64(instances)/float64(max(q.demand.instances, 1)))
 	shares := make(map[string]float64, len(serving))
 	for server, models := range serving {
 		asked := mergeDemands(byModel, models)
-		shares[server] = q.divide(asked, part, 1/float64(instances))
+		shares[server] = heard * q.divide(asked, part, 1/float64(instances))
 	}
 
 	return shares
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -200,7 +200,7 @@
 	q := &Queue{
 		cfg:    cfg,
 		lanes:  map[string]*lane{},
-		demand: newDemandTable(cfg.Clock.Now()),
+		demand: newDemandTable(),
 	}
 	for i := range q.classes {
 		q.classes[i].accounts = map[string]*account{}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -152,6 +152,7 @@
 					cfg.Instance = fmt.Sprint(i)
 					cfg.IgnorePeers = tt.ignorePeers
 				})
+				queues[i].SetInstances(instances)
 			}
 			submit := func(i int, workspace string) {
 				queues[i].Submit(&Request{
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -164,6 +164,7 @@
 		Place:       func(r *admission.Request) admission.Placement { return f.place(in, r) },
 		IgnorePeers: f.options.IgnorePeers,
 	})
+	in.queue.SetInstances(f.shape.Instances)
 	for _, name := range f.names {
 		in.table.Observe(f.report(f.engines[name]))
 	}
