--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	_exchangePeriod = 250 * time.Millisecond
+	_exchangePeriod = time.Second
 	_adapterLoad    = 8 * time.Millisecond
 	// _drain is the time after the last arrival in which requests may end.
 	_drain = 20 * time.Second
@@ -164,6 +164,7 @@
 		Place:       func(r *admission.Request) admission.Placement { return f.place(in, r) },
 		IgnorePeers: f.options.IgnorePeers,
 	})
+	in.queue.SetInstances(f.shape.Instances)
 	for _, name := range f.names {
 		in.table.Observe(f.report(f.engines[name]))
 	}
