Carry all decisions in one process, with a demo and the operators' commands

Cause: limits, queueing, routing, at-most-once, configuration, membership, placement, orders and locate were not connected. Change: package instance connects them; fleet brings a system up in one process, demo checks it; apply, diff, get, status and locate; tests of separate processes begin.

--- a/cmd/papayastair/main.go
+++ b/cmd/papayastair/main.go
@@ -34,6 +34,12 @@
 	Version kong.VersionFlag `help:"Print the version."`
 
 	Serve   serveCommand   `cmd:"" help:"Run one instance. Example: papayastair serve instance-1.json"`
+	Apply   applyCommand   `cmd:"" help:"Bring subtrees into force. Example: papayastair apply --platform 127.0.0.1:9000 hierarchy/*.json"`
+	Diff    diffCommand    `cmd:"" help:"Compare subtrees with what is in force; exit code 4 if they differ."`
+	Get     getCommand     `cmd:"" help:"Read the configuration in force."`
+	Status  statusCommand  `cmd:"" help:"Ask an instance what it has in force and sees. Example: papayastair status --operator 127.0.0.1:9300"`
+	Locate  locateCommand  `cmd:"" help:"Ask an instance which one to use."`
+	Demo    demoCommand    `cmd:"" help:"Run a small fleet on stand-ins in this process, with traffic and checks."`
 	Check   checkCommand   `cmd:"" help:"Check settings without any process. Example: papayastair check hierarchy/*.json"`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system."`
 }
--- a/cmd/papayastair/serve.go
+++ b/cmd/papayastair/serve.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/json"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,6 +19,13 @@
 	Grace    time.Duration `default:"15m" help:"The longest time that a graceful shutdown waits for running requests."`
 }
 
+// addresses is the line that a process prints when it listens.
+type addresses struct {
+	CallerAddress   string
+	PeerAddress     string `json:",omitempty"`
+	OperatorAddress string `json:",omitempty"`
+}
+
 // Run serves.
 func (s serveCommand) Run(out output) error {
 	cfg, err := settings.ParseProcess(s.Settings)
@@ -31,7 +38,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintln(out.w, "listening on", in.CallerAddress()); err != nil {
+	if err := json.NewEncoder(out.w).Encode(addresses{
+		CallerAddress:   in.CallerAddress(),
+		PeerAddress:     in.Self().PeerAddress,
+		OperatorAddress: in.OperatorAddress(),
+	}); err != nil {
 		return err
 	}
 	<-signals
--- a/cmd/papayastair/standin.go
+++ b/cmd/papayastair/standin.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
+	"encoding/json"
 	"os"
 	"os/signal"
 	"slices"
@@ -114,7 +114,7 @@
 func untilSignal(out output, address string) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if _, err := fmt.Fprintln(out.w, "listening on", address); err != nil {
+	if err := json.NewEncoder(out.w).Encode(addresses{CallerAddress: address}); err != nil {
 		return err
 	}
 	<-signals
--- a/engine/client.go
+++ b/engine/client.go
@@ -77,6 +77,9 @@
 	OutcomeNotRun Outcome = "NotRun"
 	// OutcomeUnknown means that the engine may have worked on the request.
 	OutcomeUnknown Outcome = "Unknown"
+	// OutcomeTimeout means that the engine may have worked on the request and
+	// fell silent with its connection open.
+	OutcomeTimeout Outcome = "Timeout"
 	// OutcomeMismatch means that an answer belonged to another request.
 	OutcomeMismatch Outcome = "Mismatch"
 )
@@ -175,7 +178,7 @@
 	ended := false
 	for event, err := range sse.Read(s.resp.BodyStream(), nil) {
 		if err != nil {
-			return s.fail(OutcomeUnknown, err.Error())
+			return s.fail(outcomeOfRead(err), err.Error())
 		}
 		if ended {
 			return s.fail(OutcomeMismatch, "data after the end")
@@ -261,6 +264,16 @@
 		return OutcomeNotRun
 	}
 
+	return outcomeOfRead(err)
+}
+
+// outcomeOfRead tells a silent engine from a lost connection.
+func outcomeOfRead(err error) Outcome {
+	var timeout net.Error
+	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
+		return OutcomeTimeout
+	}
+
 	return OutcomeUnknown
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,9 @@
 type Result struct {
 	// Outcome is Done when the answer was complete, or how the call failed.
 	Outcome Outcome
+	// Failure is how the call to the engine failed, and Reason the error.
+	Failure engine.Outcome
+	Reason  string
 	// Canceled says that the caller's side ended the work.
 	Canceled bool
 	// OutputTokens is the number of tokens that came.
@@ -144,7 +147,9 @@
 	// CallService calls a plain service.
 	CallService func(ctx context.Context, call ServiceCall) ServiceAnswer
 	// Locate answers which instance a caller should use.
-	Locate func(query LocateQuery) any
+	Locate func(query LocateQuery) (wire.LocateAnswer, bool)
+	// AcceptsNew says whether a new request may run at this instance.
+	AcceptsNew func() bool
 }
 
 // Config is what a gateway is made of.
@@ -167,7 +172,7 @@
 	Parts Parts
 }
 
-// Gateway serves callers. Use New.
+// Gateway serves callers. Use New and Serve.
 type Gateway struct {
 	cfg      Config
 	app      *fiber.App
@@ -181,7 +186,7 @@
 	open     map[string]*relay
 }
 
-// New starts a gateway.
+// New listens. Call Serve when the parts are ready.
 func New(cfg Config) (*Gateway, error) {
 	listener, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
@@ -209,12 +214,16 @@
 	g.app.Get("/v1/locate", g.handleLocate)
 	g.app.All("/services/*", g.handleService)
 	g.sweep = cfg.Timer.Every(_sweepPeriod, g.sweepOpen)
+
+	return g, nil
+}
+
+// Serve begins to answer callers. The parts must be ready.
+func (g *Gateway) Serve() {
 	g.wg.Go(func() {
 		// The error is that of a closed listener.
-		_ = g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = g.app.Listener(g.listener, fiber.ListenConfig{DisableStartupMessage: true})
 	})
-
-	return g, nil
 }
 
 // Address is the IP:port that callers connect to.
@@ -233,23 +242,6 @@
 	g.draining.Store(true)
 }
 
-// WaitIdle waits until no request runs, or ctx ends. It reports whether none
-// runs.
-func (g *Gateway) WaitIdle(ctx context.Context) bool {
-	const poll = 20 * time.Millisecond
-	tick := time.NewTicker(poll)
-	defer tick.Stop()
-	for g.running.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-tick.C:
-		}
-	}
-
-	return true
-}
-
 // Close ends all requests and waits for them.
 func (g *Gateway) Close() {
 	g.sweep.Stop()
@@ -267,6 +259,9 @@
 	if g.draining.Load() {
 		c.RequestCtx().SetConnectionClose()
 	}
+	if !g.cfg.Parts.AcceptsNew() {
+		return g.refuse(c, "", fasthttp.StatusServiceUnavailable, notRun("leaving", "the instance leaves; ask another one", time.Second))
+	}
 	if g.running.Add(1) > int64(g.cfg.MaxStreams) {
 		g.running.Add(-1)
 
@@ -319,8 +314,13 @@
 }
 
 func (g *Gateway) handleLocate(c fiber.Ctx) error {
-	return c.JSON(g.cfg.Parts.Locate(LocateQuery{
+	answer, ok := g.cfg.Parts.Locate(LocateQuery{
 		Region:        clone(c.Query("region")),
 		FailureDomain: clone(c.Query("failure_domain")),
-	}))
+	})
+	if !ok {
+		return g.refuse(c, "", fasthttp.StatusServiceUnavailable, notRun("no_instance", "no instance is known to be usable", time.Second))
+	}
+
+	return c.JSON(answer)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -133,6 +133,8 @@
 	}
 	r.release(Result{
 		Outcome:      result,
+		Failure:      outcome,
+		Reason:       err.Error(),
 		Canceled:     canceled != "",
 		OutputTokens: r.delivered,
 	})
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/url"
 	"slices"
 	"time"
 
@@ -29,6 +28,9 @@
 	Body        []byte
 	// IdempotencyKey is the caller's, for a route that is not idempotent.
 	IdempotencyKey string
+	// CallerKey is the caller's key, which must not leave; a call that holds
+	// it anywhere is not to be run.
+	CallerKey []byte
 }
 
 // ServiceAnswer is what became of a call.
@@ -75,6 +77,7 @@
 		ContentType:    clone(c.Get(fiber.HeaderContentType)),
 		Body:           bytes.Clone(c.Body()),
 		IdempotencyKey: clone(c.Get(_headerIdempotency)),
+		CallerKey:      bytes.Clone(callerKey(c)),
 	}
 
 	return g.callService(c, call)
@@ -92,30 +95,6 @@
 
 		return &p
 	}
-	key := callerKey(c)
-	if len(key) == 0 {
-		return nil
-	}
-	query, err := url.QueryUnescape(string(c.Request().URI().QueryString()))
-	if err != nil {
-		p := badRequest("invalid_query", "the query can't be decoded")
-
-		return &p
-	}
-	parts := [][]byte{
-		[]byte(query),
-		c.Body(),
-		[]byte(c.Get(fiber.HeaderContentType)),
-		[]byte(c.Get(_headerIdempotency)),
-		[]byte(c.Get(_headerRequestID)),
-	}
-	for _, part := range parts {
-		if bytes.Contains(part, key) {
-			p := badRequest("key_in_request", "the request holds the caller's key outside of its header")
-
-			return &p
-		}
-	}
 
 	return nil
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -243,6 +243,10 @@
 		Name:     "ip-port",
 		Validate: checkAddress,
 	})
+	compiler.RegisterFormat(&jsonschema.Format{
+		Name:     "listen-ip-port",
+		Validate: checkListenAddress,
+	})
 	compiler.AssertFormat()
 	if err := compiler.AddResource(_schemaFile, doc); err != nil {
 		panic(fmt.Sprintf("settings: schema %s: %v", _schemaFile, err))
@@ -255,6 +259,20 @@
 	return schemas
 }
 
+// checkListenAddress accepts an IP:port to listen on, whose port may be 0 to
+// take a free one.
+func checkListenAddress(value any) error {
+	text, ok := value.(string)
+	if !ok {
+		return nil
+	}
+	if address, err := netip.ParseAddrPort(text); err == nil && address.Port() == 0 {
+		text = netip.AddrPortFrom(address.Addr(), 1).String()
+	}
+
+	return checkAddress(text)
+}
+
 // checkAddress accepts an IP:port that others can connect to.
 func checkAddress(value any) error {
 	text, ok := value.(string)
--- a/wire/instance.gen.go
+++ b/wire/instance.gen.go
@@ -30,6 +30,22 @@
 	Asker string `json:"Asker"`
 }
 
+// LocateAnswer names an instance to a caller; it answers GET /v1/locate.
+type LocateAnswer struct {
+	// Address is the IP:port to connect to.
+	Address string `json:"Address"`
+
+	// Name is the instance's.
+	Name string `json:"Name"`
+
+	// Scope is the set of instances that the choice was made from: FailureDomain,
+	// Region, Any or Suspect.
+	Scope string `json:"Scope"`
+
+	// TTLMilliseconds is how long the caller may keep the answer.
+	TTLMilliseconds int `json:"TTLMilliseconds"`
+}
+
 // ModelDemand is the demand for one model.
 type ModelDemand struct {
 	// Model is the model.
@@ -39,3 +55,10 @@
 	// served.
 	TokensPerSecond float64 `json:"TokensPerSecond"`
 }
+
+// Receipt answers a message that needs no other answer. It has a field because gob
+// carries no empty types.
+type Receipt struct {
+	// Taken says that the message was taken.
+	Taken bool `json:"Taken"`
+}
