--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -326,8 +326,8 @@
 
 		return Outcome{Status: TooLarge}, nil, key
 	}
-	b.wanted(l.now(), float64(tokens))
 	outcome := l.charge(b, key, tokens)
+	b.wanted(b.at, float64(tokens))
 	b.mu.Unlock()
 
 	return outcome, b, key
@@ -392,6 +392,7 @@
 type waiter struct {
 	key      requestKey
 	tokens   int64
+	charge   int64
 	deadline int64
 	done     func(o Outcome)
 }
@@ -400,9 +401,11 @@
 // too many wait already.
 func (l *Ledger) wait(b *bucket, key requestKey, tokens int64, done func(o Outcome)) *waiter {
 	now := l.now()
+	charge, _ := l.records.price(key, tokens)
 	w := &waiter{
 		key:      key,
 		tokens:   tokens,
+		charge:   charge,
 		deadline: now + int64(_askWait),
 		done:     done,
 	}
@@ -450,7 +453,16 @@
 	now := l.now()
 	kept := b.waiters[:0]
 	for _, w := range b.waiters {
-		outcome := l.charge(b, w.key, w.tokens)
+		short := float64(w.charge) > b.level
+		if short && now < w.deadline {
+			kept = append(kept, w)
+
+			continue
+		}
+		outcome := l.refused(b, float64(w.charge))
+		if !short {
+			outcome = l.charge(b, w.key, w.tokens)
+		}
 		if outcome.Status == Refused && now < w.deadline {
 			kept = append(kept, w)
 
