Try all that wait ten times a second, and choose within 1.2 times the best

Cause: places that other instances free show only in load reports; a process that doesn't wake the queue then would leave requests waiting. Change: the queue's tick dispatches; routing's default cut-off is 1.2.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,6 +19,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,8 @@
 	_classes = 3
 	// _tick is the time between looks at the deadlines.
 	_tick = 10 * time.Millisecond
+	// _dispatchPeriod is the time between tries of all that wait.
+	_dispatchPeriod = 100 * time.Millisecond
 	// _maxLead bounds, in tokens for each unit of weight, how far a workspace's
 	// account runs ahead of the others', so that what it got while nobody else
 	// asked doesn't keep it waiting for long.
@@ -174,9 +178,11 @@
 	mu      sync.Mutex
 	closed  bool
 	waiting int
-	lanes   map[string]*lane
-	classes [_classes]class
-	demand  demandTable
+	// dispatched is when all that wait were last tried.
+	dispatched time.Time
+	lanes      map[string]*lane
+	classes    [_classes]class
+	demand     demandTable
 	// outcomes are delivered when mu is released.
 	outcomes []delivery
 }
@@ -311,7 +317,8 @@
 	}
 }
 
-// expire refuses the requests whose deadline has passed.
+// expire refuses the requests whose deadline has passed, and now and then
+// tries all that wait: places may become free without a Wake.
 func (q *Queue) expire() {
 	now := q.cfg.Clock.Now()
 	q.mu.Lock()
@@ -325,6 +332,23 @@
 		}
 		q.drain(l, func(r *Request) bool { return r.isExpired(now) }, ReasonExpired, now)
 	}
+	if now.Sub(q.dispatched) >= _dispatchPeriod {
+		q.dispatched = now
+		q.dispatch(q.waitingLanes(), now)
+	}
+}
+
+// waitingLanes are the lanes with requests, in the order of their models.
+func (q *Queue) waitingLanes() []*lane {
+	var lanes []*lane
+	for _, l := range q.lanes {
+		if l.waiting > 0 {
+			lanes = append(lanes, l)
+		}
+	}
+	slices.SortFunc(lanes, func(a, b *lane) int { return strings.Compare(a.model, b.model) })
+
+	return lanes
 }
 
 // drain refuses the requests of a lane for which out holds.
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -73,7 +73,7 @@
 	}{
 		{name: "as it is"},
 		{name: "cut-off 1 (only the best)", options: Options{CutOff: 1.000001}},
-		{name: "cut-off 1.2", options: Options{CutOff: 1.2}},
+		{name: "cut-off 1.05", options: Options{CutOff: 1.05}},
 		{name: "cut-off 1.5", options: Options{CutOff: 1.5}},
 		{name: "cut-off 2", options: Options{CutOff: 2}},
 		{name: "two random candidates", options: Options{Sample: 2}},
--- a/routing/table.go
+++ b/routing/table.go
@@ -47,7 +47,7 @@
 	// down; 0 means 64.
 	AdapterLoads int
 	// CutOff makes the choice random among the candidates whose cost is at most
-	// CutOff times the best; 0 means 1.05.
+	// CutOff times the best; 0 means 1.2.
 	CutOff float64
 	// Sample is how many random candidates are weighed, at most 16; 0 means 16.
 	Sample int
@@ -292,7 +292,7 @@
 	setDefault(&cfg.BelievedPrefixes, 1024)
 	setDefault(&cfg.AdapterLoad, 8*time.Millisecond)
 	setDefault(&cfg.AdapterLoads, 64)
-	setDefault(&cfg.CutOff, 1.05)
+	setDefault(&cfg.CutOff, 1.2)
 	setDefault(&cfg.Sample, 16)
 	setDefault(&cfg.DomainPenalty, 3*time.Millisecond)
 	setDefault(&cfg.MaxEjected, 0.3)
