--- a/admission/demand.go
+++ b/admission/demand.go
@@ -56,14 +56,11 @@
 }
 
 func (t *demandTable) want(r *Request, now time.Time) {
-	t.ownOf(r).wanted.add(now, float64(r.Tokens))
+	r.demand = t.ownOf(r)
+	r.demand.wanted.add(now, float64(r.Tokens))
 	t.weights[r.Workspace] = float64(r.Weight)
 }
 
-func (t *demandTable) serve(r *Request) {
-	t.ownOf(r).served += r.Tokens
-}
-
 func (t *demandTable) ownOf(r *Request) *ownDemand {
 	key := demandKey{
 		workspace: r.Workspace,
--- a/admission/fair.go
+++ b/admission/fair.go
@@ -166,7 +166,7 @@
 	f.account.virtual += float64(r.Tokens) / f.account.weight
 	c.served.add(now, float64(r.Tokens))
 	l.drain.add(now, float64(r.Tokens))
-	q.demand.serve(r)
+	r.demand.served += r.Tokens
 	r.state = _left
 	q.outcomes = append(q.outcomes, delivery{
 		request: r,
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -112,6 +112,7 @@
 	Data any
 
 	class   int
+	demand  *ownDemand
 	since   time.Time
 	deliver func(Outcome)
 	state   requestState
--- a/experiment/capacity_test.go
+++ b/experiment/capacity_test.go
@@ -26,7 +26,8 @@
 		fmt.Printf("table: workers %d models %d: %d KB, %v for a report with changed models\n", n[0], n[1], bytes>>10, observe)
 	}
 	for _, n := range []int{1000, 4000, 16000, 64000} {
-		fmt.Printf("suspects: records %d: %d KB\n", n, suspectsPoint(n)>>10)
+		bytes, took := suspectsPoint(n)
+		fmt.Printf("suspects: records %d: %d KB, %v for an ask and its end at the home\n", n, bytes>>10, took)
 	}
 	for _, n := range []int{5, 25, 75, 300} {
 		fmt.Printf("demand report: entries %d: %d bytes of gob\n", n, gobBytes(demandReport("i0", n)))
@@ -76,20 +77,22 @@
 	return used, took
 }
 
-func suspectsPoint(n int) uint64 {
+func suspectsPoint(n int) (uint64, time.Duration) {
 	before := heap()
 	s := routing.NewSuspects(routing.SuspectsConfig{
 		Instance: "i0",
 		Clock:    timer.NewVirtual(time.Unix(1000, 0)),
 	})
+	start := time.Now()
 	for i := range n {
 		run, _ := s.TryAcquire(i*7919, "s0", "")
 		s.Release(&run, routing.OutcomeOK)
 	}
+	took := time.Since(start) / time.Duration(n)
 	used := heap() - before
 	runtime.KeepAlive(s)
 
-	return used
+	return used, took
 }
 
 func sharesPoint(instances int) time.Duration {
