--- a/settings/parse.go
+++ b/settings/parse.go
@@ -77,16 +77,43 @@
 }
 
 // Encode returns the canonical JSON of a subtree: the same bytes for the same
-// content.
+// content, which DecodeSubtree takes if the subtree is valid.
 func Encode(subtree wire.Subtree) string {
 	content, err := json.Marshal(subtree)
 	if err != nil {
 		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
 	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(content))
+	if err != nil {
+		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
+	}
+	dropEmpty(doc)
+	content, err = json.Marshal(doc)
+	if err != nil {
+		panic(fmt.Sprintf("settings: encode %s: %v", subtree.Path, err))
+	}
 
 	return string(content)
 }
 
+// dropEmpty removes lists without items, so that a list that is nil and one
+// that is empty are the same.
+func dropEmpty(doc any) {
+	switch value := doc.(type) {
+	case map[string]any:
+		for name, item := range value {
+			if list, ok := item.([]any); item == nil || ok && len(list) == 0 {
+				delete(value, name)
+			}
+			dropEmpty(item)
+		}
+	case []any:
+		for _, item := range value {
+			dropEmpty(item)
+		}
+	}
+}
+
 // decode checks content against a definition of the schema, fills in the
 // defaults and returns the typed value.
 func decode[T any](definition, file string, content []byte) (T, Problems) {
@@ -216,6 +243,10 @@
 		Name:     "ip-port",
 		Validate: checkAddress,
 	})
+	compiler.RegisterFormat(&jsonschema.Format{
+		Name:     "listen-ip-port",
+		Validate: checkListenAddress,
+	})
 	compiler.AssertFormat()
 	if err := compiler.AddResource(_schemaFile, doc); err != nil {
 		panic(fmt.Sprintf("settings: schema %s: %v", _schemaFile, err))
@@ -228,6 +259,20 @@
 	return schemas
 }
 
+// checkListenAddress accepts an IP:port to listen on, whose port may be 0 to
+// take a free one.
+func checkListenAddress(value any) error {
+	text, ok := value.(string)
+	if !ok {
+		return nil
+	}
+	if address, err := netip.ParseAddrPort(text); err == nil && address.Port() == 0 {
+		text = netip.AddrPortFrom(address.Addr(), 1).String()
+	}
+
+	return checkAddress(text)
+}
+
 // checkAddress accepts an IP:port that others can connect to.
 func checkAddress(value any) error {
 	text, ok := value.(string)
