Count retries when they are sent

Cause: the queue tries a waiting request many times; each try took or earned budget, so that waiting requests filled it and waiting retries emptied it. Change: only a reserved place counts. Conclusion: TestChoose tries between the retries.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -158,12 +158,9 @@
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Retry && !t.retries.take() {
+	if r.Retry && !t.retries.allows() {
 		return Decision{Reason: ReasonRetryBudget}
 	}
-	if !r.Retry {
-		t.retries.earn()
-	}
 	servers := t.byModel[modelKey{model: r.Model, version: r.Version}]
 	if r.Only != "" {
 		return t.chooseOnly(servers, &r, now)
@@ -380,6 +377,7 @@
 
 func (t *Table) reserve(w *weighed, r *Request, seed uint64, now time.Time, reason Reason, found []weighed) Decision {
 	s := w.server
+	t.retries.count(r.Retry)
 	s.own.add(now, 1)
 	unread := r.InputTokens - w.cached
 	s.unread += unread
--- a/routing/health.go
+++ b/routing/health.go
@@ -276,21 +276,22 @@
 	return r.Priority != wire.PriorityUrgent || !hasOther(servers, s)
 }
 
-// retryBudget lets a fraction of the requests be retries.
+// retryBudget lets a fraction of the requests sent be retries. A choice that
+// finds no place is not counted: a waiting request is tried many times.
 type retryBudget struct {
 	ratio  float64
 	tokens float64
 }
 
-func (b *retryBudget) earn() {
-	b.tokens = min(b.tokens+b.ratio, _retryReserve)
+func (b *retryBudget) allows() bool {
+	return b.tokens >= 1
 }
 
-func (b *retryBudget) take() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
+func (b *retryBudget) count(retry bool) {
+	if retry {
+		b.tokens--
 
-	return true
+		return
+	}
+	b.tokens = min(b.tokens+b.ratio, _retryReserve)
 }
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -188,7 +188,9 @@
 			name: "retries beyond the budget",
 			before: func(table *Table, _ *timer.Service) {
 				for range int(_retryReserve) {
+					table.Choose(Request{Model: "x"})
 					table.Choose(Request{Model: "x", Retry: true})
+					table.Done(table.Choose(Request{Model: "m", Retry: true}).Ticket, Result{})
 				}
 			},
 			change: func(r *Request) { r.Retry = true },
