--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -73,7 +73,7 @@
 	}{
 		{name: "as it is"},
 		{name: "cut-off 1 (only the best)", options: Options{CutOff: 1.000001}},
-		{name: "cut-off 1.2", options: Options{CutOff: 1.2}},
+		{name: "cut-off 1.05", options: Options{CutOff: 1.05}},
 		{name: "cut-off 1.5", options: Options{CutOff: 1.5}},
 		{name: "cut-off 2", options: Options{CutOff: 2}},
 		{name: "two random candidates", options: Options{Sample: 2}},
@@ -81,8 +81,9 @@
 		{name: "no exchange", options: Options{IgnorePeers: true}},
 		{name: "no prefixes", options: Options{IgnorePrefixes: true}},
 		{name: "seed 21", seed: 21},
-		{name: "seed 22", seed: 22},
-		{name: "seed 23", seed: 23},
+		{name: "seed 31", seed: 31},
+		{name: "seed 32", seed: 32},
+		{name: "seed 33", seed: 33},
 	}
 	for _, shape := range readShapes(t) {
 		rows := make([]Row, 0, 2*len(tests))
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -40,17 +40,17 @@
 	// batch ones. What is left of the places meets bursts.
 	_urgentRoom = 1.0
 	_liveRoom   = 0.8
-	_batchRoom  = 0.6
+	_batchRoom  = 0.5
 	// _overdraft is the part of the places by which requests within the share
 	// of their workspace may go over the instance's own part.
 	_overdraft = 0.15
 	// _riskFactor multiplies the cost of a first token expected after the
 	// part _risky of the slack.
-	_risky      = 0.5
+	_risky      = 0.35
 	_riskFactor = 3
 	// _maxReading bounds the time that prompts of requests over the share of
 	// their workspace may keep a server reading.
-	_maxReading = 150 * time.Millisecond
+	_maxReading = 75 * time.Millisecond
 	// _pressedTime is how long a backend server without room for urgent and
 	// live requests takes batch requests only by their floor.
 	_pressedTime = 10 * time.Second
@@ -158,12 +158,9 @@
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Retry && !t.retries.take() {
+	if r.Retry && !t.retries.allows() {
 		return Decision{Reason: ReasonRetryBudget}
 	}
-	if !r.Retry {
-		t.retries.earn()
-	}
 	servers := t.byModel[modelKey{model: r.Model, version: r.Version}]
 	if r.Only != "" {
 		return t.chooseOnly(servers, &r, now)
@@ -380,6 +377,7 @@
 
 func (t *Table) reserve(w *weighed, r *Request, seed uint64, now time.Time, reason Reason, found []weighed) Decision {
 	s := w.server
+	t.retries.count(r.Retry)
 	s.own.add(now, 1)
 	unread := r.InputTokens - w.cached
 	s.unread += unread
