Merge segments of records as they grow in number

Change: segments of about one size are replaced by one of up to 768 KiB, read and written between other steps; the shard itself spills at 32 KiB.

--- a/attempt/book.go
+++ b/attempt/book.go
@@ -88,7 +88,7 @@
 	// MaxAnswerBytes is the largest body that is saved. Default 32 KiB.
 	MaxAnswerBytes int
 	// SpillBytes is the size of a shard from which older records move into a
-	// segment. Default 128 KiB.
+	// segment. Default 32 KiB.
 	SpillBytes int
 
 	unsafe unsafeConfig
@@ -122,7 +122,7 @@
 	orDefault(&cfg.BeginWindow, 5*time.Millisecond)
 	orDefault(&cfg.FinishWindow, 100*time.Millisecond)
 	orDefault(&cfg.MaxAnswerBytes, 32<<10)
-	orDefault(&cfg.SpillBytes, 128<<10)
+	orDefault(&cfg.SpillBytes, 32<<10)
 
 	return cfg
 }
--- a/attempt/draft.go
+++ b/attempt/draft.go
@@ -7,6 +7,11 @@
 	"papayastair.dev/papayastair/wire"
 )
 
+const (
+	_mergeFactor     = 8
+	_maxSegmentBytes = 768 << 10
+)
+
 // operationKind is what an operation wants.
 type operationKind = wire.AttemptRequestOperation
 
@@ -108,19 +113,29 @@
 	}
 }
 
-// spill replaces records by the segment that holds them. It reports false,
-// and changes nothing, unless all of them are there as in the segment.
+// spill replaces records, or segments, by the segment that holds them now. It
+// reports false, and changes nothing, unless all of them are still there.
 func (d *draft) spill(s *spill) bool {
 	keys := make(map[string]bool, len(s.records))
 	for i := range s.records {
+		if s.sources != nil {
+			break
+		}
 		record, _ := d.find(s.records[i].Key)
 		if record == nil || record.Attempt != s.records[i].Attempt || record.Answer.Status != s.records[i].Answer.Status {
 			return false
 		}
 		keys[record.Key] = true
 	}
+	for _, source := range s.sources {
+		if !d.names(source.Name) {
+			return false
+		}
+	}
 	d.remove(keys)
+	d.value.Segments = slices.DeleteFunc(d.value.Segments, func(ref wire.AttemptSegmentRef) bool { return slices.Contains(s.sources, ref) })
 	d.value.Segments = append(d.value.Segments, s.ref)
+	d.dropped = append(d.dropped, s.sources...)
 
 	return true
 }
@@ -131,36 +146,78 @@
 }
 
 // spill is a segment on its way into a shard. Its ref has no version until
-// the segment is stored.
+// the segment is stored. It replaces its sources, or else the same records in
+// the shard itself.
 type spill struct {
 	ref     wire.AttemptSegmentRef
 	records []wire.AttemptRecord
+	sources []wire.AttemptSegmentRef
+	// read is how many sources have been read.
+	read int
 }
 
-// chooseSpill takes the oldest records that will not change any more, up to
-// limit bytes. Those without an answer stay until they are older than any
-// answer can be late.
+// add takes records in that have not expired by now, in milliseconds.
+func (s *spill) add(now int, records ...wire.AttemptRecord) {
+	for _, record := range records {
+		if record.ExpiresUnixMilliseconds <= now {
+			continue
+		}
+		s.records = append(s.records, record)
+		s.ref.Bytes += recordBytes(record)
+		s.ref.ExpiresUnixMilliseconds = max(s.ref.ExpiresUnixMilliseconds, record.ExpiresUnixMilliseconds)
+	}
+}
+
+// isStale says that a source is no longer named by a value.
+func (s *spill) isStale(value wire.AttemptShard) bool {
+	return slices.ContainsFunc(s.sources, func(source wire.AttemptSegmentRef) bool { return !slices.Contains(value.Segments, source) })
+}
+
+// chooseSpill takes the oldest records that will not change any more, between
+// limit/2 and limit bytes of them, or nothing. Those without an answer stay
+// until they are older than any answer can be late.
 func chooseSpill(value wire.AttemptShard, limit, expiresBefore int) *spill {
 	s := &spill{}
-	bytes := 0
 	for _, record := range value.Records {
-		if record.Answer.Status == 0 && record.ExpiresUnixMilliseconds > expiresBefore {
-			continue
-		}
-		bytes += recordBytes(record)
-		if bytes > limit && len(s.records) > 0 {
+		if s.ref.Bytes >= limit {
 			break
 		}
-		s.records = append(s.records, record)
-		s.ref.ExpiresUnixMilliseconds = max(s.ref.ExpiresUnixMilliseconds, record.ExpiresUnixMilliseconds)
+		if record.Answer.Status != 0 || record.ExpiresUnixMilliseconds <= expiresBefore {
+			s.add(0, record)
+		}
 	}
-	if len(s.records) == 0 {
+	if s.ref.Bytes < limit/2 {
 		return nil
 	}
 
 	return s
 }
 
+// chooseMerge takes segments of about one size to be replaced by one, as soon
+// as there are enough of them, or nothing. Sizes grow by the same factor, so
+// that a record is copied a few times only.
+func chooseMerge(value wire.AttemptShard, smallest int) *spill {
+	for limit := smallest * _mergeFactor / 2; limit < _maxSegmentBytes; limit *= _mergeFactor {
+		s := &spill{}
+		bytes := 0
+		for _, ref := range value.Segments {
+			if ref.Bytes < limit/_mergeFactor || ref.Bytes >= limit {
+				continue
+			}
+			isFull := bytes+ref.Bytes > _maxSegmentBytes
+			if !isFull {
+				s.sources = append(s.sources, ref)
+				bytes += ref.Bytes
+			}
+			if len(s.sources) == _mergeFactor || isFull && len(s.sources) >= _mergeFactor/2 {
+				return s
+			}
+		}
+	}
+
+	return nil
+}
+
 // recordBytes estimates the size of a record in JSON.
 func recordBytes(record wire.AttemptRecord) int {
 	const fixed = 240
--- a/attempt/fleet_test.go
+++ b/attempt/fleet_test.go
@@ -40,6 +40,9 @@
 	beginTimes []time.Duration
 	outcomes   map[Kind]int
 
+	// written are the bytes of all writes of objects.
+	written int
+
 	// Faults in force.
 	storeDown, loseReplies, lateWrites   bool
 	loseServiceReplies, refuseConnection bool
@@ -72,6 +75,12 @@
 		outcomes: map[Kind]int{},
 	}
 	f.store = f.memory.Platform()
+	put := f.store.Put
+	f.store.Put = func(ctx context.Context, kind, name, value string, version int) (int, error) {
+		f.written += len(value)
+
+		return put(ctx, kind, name, value, version)
+	}
 	for i := range nodes {
 		f.nodes = append(f.nodes, f.start(fmt.Sprint("instance-", i), 0, 1))
 	}
--- a/attempt/shard.go
+++ b/attempt/shard.go
@@ -79,7 +79,9 @@
 	indexes  map[string]map[uint64]struct{}
 	open     []openSegment
 	spill    *spill
+	merge    *spill
 	spills   int
+	merges   int
 	dropped  []wire.AttemptSegmentRef
 	failures int
 	conflict int
@@ -131,10 +133,12 @@
 	if next, ok := s.planSpill(now); ok {
 		return next
 	}
-	next, ok := s.planWrite(now)
-	if ok {
+	if next, ok := s.planWrite(now); ok {
 		return next
 	}
+	if s.merge != nil {
+		return s.get(now, _kindSegment, s.merge.sources[s.merge.read].Name)
+	}
 	if len(s.dropped) > 0 {
 		return s.call(now, stepDelete, wire.Object{
 			Kind:    _kindSegment,
@@ -151,7 +155,7 @@
 }
 
 func (s *shard) hasWork() bool {
-	return len(s.waiting) > 0 || s.inDoubt || s.spill != nil || len(s.dropped) > 0
+	return len(s.waiting) > 0 || s.inDoubt || s.spill != nil || s.merge != nil || len(s.dropped) > 0
 }
 
 // wait waits until a time, or the first deadline before it.
@@ -231,15 +235,12 @@
 	}
 }
 
-// planSpill moves older records into a segment when the value has grown.
+// planSpill moves older records into a segment when the value has grown, and
+// stores the segment.
 func (s *shard) planSpill(now time.Time) (step, bool) {
 	if s.spill == nil && !s.inDoubt && valueBytes(s.value) > s.cfg.SpillBytes {
 		old := now.Add(s.cfg.Life - s.cfg.AnswerWait)
-		s.spill = chooseSpill(s.value, s.cfg.SpillBytes/2, int(old.UnixMilli()))
-		if s.spill != nil {
-			s.spills++
-			s.spill.ref.Name = fmt.Sprintf("%s.%s.%d.%d", s.name, s.cfg.Instance, s.cfg.Incarnation, s.spills)
-		}
+		s.startSpill(chooseSpill(s.value, s.cfg.SpillBytes/2, int(old.UnixMilli())))
 	}
 	if s.spill == nil || s.spill.ref.Version != 0 {
 		return step{}, false
@@ -252,6 +253,15 @@
 	}), true
 }
 
+// startSpill names a segment to be stored. No two segments have one name.
+func (s *shard) startSpill(next *spill) {
+	s.spill = next
+	if next != nil {
+		s.spills++
+		next.ref.Name = fmt.Sprintf("%s.%s.%d.%d", s.name, s.cfg.Instance, s.cfg.Incarnation, s.spills)
+	}
+}
+
 // planWrite drafts the next value and writes it, or reads what the draft
 // needs first.
 func (s *shard) planWrite(now time.Time) (step, bool) {
@@ -528,6 +538,9 @@
 			delete(s.indexes, name)
 		}
 	}
+	if s.merge != nil && s.merge.isStale(value) {
+		s.merge = nil
+	}
 }
 
 func (s *shard) doneGetSegment(st step, r stepResult, now time.Time) {
@@ -535,17 +548,34 @@
 	switch code := platform.CodeOf(r.err); {
 	case code == platform.CodeNotFound:
 		s.mustRead = true
+		s.merge = nil
 		s.waitFrom(now)
 
 		return
 	case code != "":
 		return
 	case !s.decode(r.object, &segment):
+		s.merge = nil
 		s.waitFrom(now)
 
 		return
 	}
 	s.index(st.object.Name, segment.Records)
+	s.takeSource(st.object.Name, segment.Records, now)
+}
+
+// takeSource adds a segment's records to the merge that wants them.
+func (s *shard) takeSource(name string, records []wire.AttemptRecord, now time.Time) {
+	if s.merge == nil || s.merge.sources[s.merge.read].Name != name {
+		return
+	}
+	s.merge.add(s.removalTime(now), records...)
+	s.merge.read++
+	if s.merge.read == len(s.merge.sources) {
+		s.merges++
+		s.startSpill(s.merge)
+		s.merge = nil
+	}
 }
 
 // index notes the keys of a segment and keeps its records at hand.
@@ -581,6 +611,9 @@
 		s.adopt(d.value, r.object.Version, st.started)
 		s.dropped = append(s.dropped, d.dropped...)
 		s.finishBatch(d.batch, now)
+		if s.merge == nil && s.spill == nil {
+			s.merge = chooseMerge(s.value, s.cfg.SpillBytes/2)
+		}
 	case platform.CodeUnknown:
 		s.inDoubt = true
 		s.mustRead = !s.cfg.unsafe.blindRetry
--- a/wire/attempt.gen.go
+++ b/wire/attempt.gen.go
@@ -98,6 +98,9 @@
 
 // AttemptSegmentRef names a segment.
 type AttemptSegmentRef struct {
+	// Bytes is the size of its records, about.
+	Bytes int `json:"Bytes"`
+
 	// ExpiresUnixMilliseconds is when the last of its records expires.
 	ExpiresUnixMilliseconds int `json:"ExpiresUnixMilliseconds"`
 
