--- a/attempt/schedule_test.go
+++ b/attempt/schedule_test.go
@@ -1,7 +1,9 @@
 package attempt
 
 import (
+	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -294,3 +296,75 @@
 	b.ReportMetric(float64(f.written)/float64(calls)/1024, "KiB/call")
 	b.ReportMetric(float64(f.outcomes[KindDone])/float64(calls), "done")
 }
+
+// BenchmarkShardSize fills one shard and reports the size of its object, the
+// names of segments in it, the bytes written a record, the heap of an
+// instance that has indexed it, and the calls to read it anew.
+func BenchmarkShardSize(b *testing.B) {
+	for _, records := range []int{1000, 10000, 40000, 160000} {
+		b.Run(fmt.Sprint("records=", records), func(b *testing.B) {
+			for b.Loop() {
+				reportSize(b, records)
+			}
+		})
+	}
+}
+
+func reportSize(b *testing.B, records int) {
+	const batch = 20
+	f := newFleet(1, 1, Config{Shards: 1})
+	w := f.nodes[0].book.writers[0]
+	w.cfg.Store = f.store
+	w.cfg.BeginWindow, w.cfg.FinishWindow = time.Nanosecond, time.Nanosecond
+	for i := range records {
+		f.nodes[0].book.start(Call{
+			Workspace:      "kandy",
+			IdempotencyKey: fmt.Sprint(i),
+			BodyHash:       "0123456789012345678901",
+		}, func(outcome Outcome) {
+			outcome.Ticket.Finish(Answer{
+				Status: 200,
+				Body:   make([]byte, 100),
+			})
+		})
+		if i%batch == batch-1 {
+			drain(f, w)
+		}
+	}
+	stored := f.memory.Calls()
+	b.ReportMetric(float64(len(encode(w.shard.value)))/1024, "object-KiB")
+	b.ReportMetric(float64(len(w.shard.value.Segments)), "segments")
+	b.ReportMetric(float64(f.written)/float64(records)/1024, "KiB/record")
+	b.ReportMetric(float64(stored["put"]+stored["delete"]+stored["get"])/float64(records), "calls/record")
+	w.shard = newShard(w.cfg, w.shard.name)
+	before := heapBytes()
+	f.nodes[0].book.start(Call{IdempotencyKey: "other"}, func(Outcome) {})
+	drain(f, w)
+	b.ReportMetric(float64(heapBytes()-before)/1024, "heap-KiB")
+	b.ReportMetric(float64(f.memory.Calls()["get"]-stored["get"]), "reads")
+}
+
+// drain carries out all steps of a writer without waits.
+func drain(f *fleet, w *writer) {
+	for {
+		f.nodes[0].timer.Advance(time.Millisecond)
+		w.takeIn()
+		st := w.shard.plan(w.cfg.Timer.Now())
+		if st.kind == stepWait && len(w.shard.waiting) == 0 {
+			return
+		}
+		if st.kind != stepWait {
+			w.shard.done(st, w.do(context.Background(), st), w.cfg.Timer.Now())
+		}
+	}
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	// The second collection empties what pools kept through the first.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+
+	return int64(stats.HeapAlloc)
+}
