Keep a shard within an object's size when large answers come at once

Cause: answers had no bound together: 80 answers of 32 KiB to one shard made a value over 1 MB, which the store refuses for ever, and the shard with it. Change: an answer that doesn't fit waits for the next draft; a grown shard spills half of itself; the size of a record counts its key and hash. MaySend asks the wall clock too, since a suspended machine stops the monotonic one. Conclusion: found by reading the code; the schedules had small answers only.

--- a/attempt/book.go
+++ b/attempt/book.go
@@ -321,9 +321,13 @@
 }
 
 // MaySend says whether the call may still leave. It must be asked right
-// before the call leaves; a process may have been paused since Begin.
+// before the call leaves; a process may have been paused since Begin. The
+// wall clock is asked too, since the monotonic clock stops with the machine.
 func (t *Ticket) MaySend() bool {
-	return t.book.cfg.unsafe.sendLate || !t.book.cfg.Timer.Now().After(t.sendBy)
+	now := t.book.cfg.Timer.Now()
+	isLate := now.After(t.sendBy) || now.Round(0).After(t.sendBy.Round(0))
+
+	return !isLate || t.book.cfg.unsafe.sendLate
 }
 
 // Finish saves the answer of the call, in the background. A ticket that is
--- a/attempt/draft.go
+++ b/attempt/draft.go
@@ -173,8 +173,8 @@
 	return slices.ContainsFunc(s.sources, func(source wire.AttemptSegmentRef) bool { return !slices.Contains(value.Segments, source) })
 }
 
-// chooseSpill takes the oldest records that will not change any more, between
-// limit/2 and limit bytes of them, or nothing. Those without an answer stay
+// chooseSpill takes the oldest records that will not change any more, about
+// limit bytes of them, or nothing if they are less than half of that. Those without an answer stay
 // until they are older than any answer can be late.
 func chooseSpill(value wire.AttemptShard, limit, expiresBefore int) *spill {
 	s := &spill{}
@@ -220,8 +220,8 @@
 
 // recordBytes estimates the size of a record in JSON.
 func recordBytes(record wire.AttemptRecord) int {
-	const fixed = 240
-	n := fixed + len(record.Attempt) + len(record.Answer.Body)
+	const fixed = 180
+	n := fixed + len(record.Key) + len(record.BodyHash) + len(record.Attempt) + len(record.Answer.Body)
 	for _, header := range record.Answer.Headers {
 		n += len(header.Name) + len(header.Value) + len(`{"Name":"","Value":""},`)
 	}
--- a/attempt/schedule_test.go
+++ b/attempt/schedule_test.go
@@ -243,6 +243,44 @@
 	}
 }
 
+// TestLargeAnswersFit saves answers at once that together are larger than an
+// object may be.
+func TestLargeAnswersFit(t *testing.T) {
+	const calls = 80
+	f := newFleet(1, 1, Config{Shards: 1})
+	n := f.nodes[0]
+	w := n.book.writers[0]
+	w.cfg.Store = f.store
+	outcomes := map[Kind]int{}
+	begin := func(key int, then func(*Ticket)) {
+		n.book.start(Call{IdempotencyKey: fmt.Sprint(key)}, func(outcome Outcome) {
+			outcomes[outcome.Kind]++
+			if outcome.Kind == KindRun {
+				then(outcome.Ticket)
+			}
+		})
+	}
+	var tickets []*Ticket
+	for key := range calls {
+		begin(key, func(ticket *Ticket) { tickets = append(tickets, ticket) })
+	}
+	drain(f, w)
+	for _, ticket := range tickets {
+		ticket.Finish(Answer{
+			Status: 200,
+			Body:   make([]byte, w.cfg.MaxAnswerBytes),
+		})
+	}
+	drain(f, w)
+	for key := range calls {
+		begin(key, nil)
+	}
+	drain(f, w)
+	if diff := cmp.Diff(map[Kind]int{KindRun: calls, KindSaved: calls}, outcomes); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
+
 // BenchmarkStoreWrites reports the store's calls and the time of Begin for
 // each call of six instances, over numbers of shards, windows and loads, with
 // and without owners of shards. With 4096 shards hardly two records share
@@ -346,7 +384,7 @@
 
 // drain carries out all steps of a writer without waits.
 func drain(f *fleet, w *writer) {
-	for {
+	for range 10000 {
 		f.nodes[0].timer.Advance(time.Millisecond)
 		w.takeIn()
 		st := w.shard.plan(w.cfg.Timer.Now())
--- a/attempt/shard.go
+++ b/attempt/shard.go
@@ -22,7 +22,8 @@
 
 const (
 	_maxWaiting        = 4096
-	_maxDraftBytes     = 768 << 10
+	_maxDraftBytes     = 512 << 10
+	_maxAnsweredBytes  = 896 << 10
 	_maxOpenSegments   = 4
 	_failuresUntilDown = 3
 	_conflictsToWait   = 2
@@ -238,9 +239,9 @@
 // planSpill moves older records into a segment when the value has grown, and
 // stores the segment.
 func (s *shard) planSpill(now time.Time) (step, bool) {
-	if s.spill == nil && !s.inDoubt && valueBytes(s.value) > s.cfg.SpillBytes {
+	if bytes := valueBytes(s.value); s.spill == nil && !s.inDoubt && bytes > s.cfg.SpillBytes {
 		old := now.Add(s.cfg.Life - s.cfg.AnswerWait)
-		s.startSpill(chooseSpill(s.value, s.cfg.SpillBytes/2, int(old.UnixMilli())))
+		s.startSpill(chooseSpill(s.value, bytes/2, int(old.UnixMilli())))
 	}
 	if s.spill == nil || s.spill.ref.Version != 0 {
 		return step{}, false
@@ -357,9 +358,13 @@
 
 			return settled
 		}
-		d.bytes -= recordBytes(*record)
-		record.Answer = o.record.Answer
-		d.bytes += recordBytes(*record)
+		answered := *record
+		answered.Answer = o.record.Answer
+		if d.bytes+recordBytes(answered)-recordBytes(*record) > _maxAnsweredBytes {
+			return waits
+		}
+		d.bytes += recordBytes(answered) - recordBytes(*record)
+		*record = answered
 
 		return applied
 	case operationRelease:
