Never give out a saved answer without its body

Cause: a repeat of a call whose body was too large to be kept was told Saved with an empty body, which a gateway hands on as the whole answer. Change: such a repeat is Unknown, with the status in the reason. The timer of a result is set and read without a race. Conclusion: Saved is always whole.

--- a/attempt/book.go
+++ b/attempt/book.go
@@ -85,7 +85,8 @@
 	// that was forwarded is taken for lost. Defaults 5 ms and 100 ms.
 	BeginWindow  time.Duration
 	FinishWindow time.Duration
-	// MaxAnswerBytes is the largest body that is saved. Default 32 KiB.
+	// MaxAnswerBytes is the largest body that is saved. A repeat of a call
+	// with a larger one gets KindUnknown with the status. Default 32 KiB.
 	MaxAnswerBytes int
 	// SpillBytes is the size of a shard from which older records move into a
 	// segment. Default 32 KiB.
@@ -204,10 +205,9 @@
 	switch result.Kind {
 	case service.KindDone:
 		answer := Answer{
-			Status:   result.Status,
-			Headers:  result.Headers,
-			Body:     result.Body,
-			BodyKept: true,
+			Status:  result.Status,
+			Headers: result.Headers,
+			Body:    result.Body,
 		}
 		ticket.Finish(answer)
 
@@ -284,10 +284,9 @@
 // newResult returns a result that is NotRun after BeginTimeout.
 func (b *Book) newResult(deliver func(Outcome)) *result {
 	r := &result{deliver: deliver}
-	late := b.cfg.Timer.After(b.cfg.BeginTimeout, func(time.Time) {
+	r.late.Store(b.cfg.Timer.After(b.cfg.BeginTimeout, func(time.Time) {
 		r.settle(notRun("the store did not answer in time; an earlier call with the key may have run"))
-	})
-	r.stop = late.Stop
+	}))
 
 	return r
 }
@@ -371,7 +370,7 @@
 type result struct {
 	done    atomic.Bool
 	deliver func(Outcome)
-	stop    func()
+	late    atomic.Pointer[timer.Subscription]
 }
 
 // settle delivers an outcome and reports true, unless there was one before.
@@ -379,8 +378,8 @@
 	if !r.done.CompareAndSwap(false, true) {
 		return false
 	}
-	if r.stop != nil {
-		r.stop()
+	if late := r.late.Load(); late != nil {
+		late.Stop()
 	}
 	if r.deliver != nil {
 		r.deliver(outcome)
--- a/attempt/book_test.go
+++ b/attempt/book_test.go
@@ -208,9 +208,8 @@
 			want: Outcome{
 				Kind: KindSaved,
 				Answer: Answer{
-					Status:   http.StatusCreated,
-					Body:     []byte("printed"),
-					BodyKept: true,
+					Status: http.StatusCreated,
+					Body:   []byte("printed"),
 				},
 			},
 		},
@@ -219,11 +218,8 @@
 			body:   "printed twice",
 			repeat: "hash",
 			want: Outcome{
-				Kind: KindSaved,
-				Answer: Answer{
-					Status: http.StatusCreated,
-					Body:   []byte{},
-				},
+				Kind:   KindUnknown,
+				Reason: "the call ran with status 201, but its answer was too large to be kept",
 			},
 		},
 		{
--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"fmt"
 	"strconv"
 
 	"papayastair.dev/papayastair/service"
@@ -78,7 +79,7 @@
 type Outcome struct {
 	// Kind says which of the other fields are set.
 	Kind Kind
-	// Answer is set with KindDone and KindSaved.
+	// Answer is set with KindDone and KindSaved, and always whole.
 	Answer Answer
 	// Reason is for people, with the other kinds.
 	Reason string
@@ -94,9 +95,6 @@
 	Headers []service.Header
 	// Body is the body.
 	Body []byte
-	// BodyKept is false when the body of a saved answer was too large to be
-	// kept. The call ran, with Status.
-	BodyKept bool
 }
 
 // stored is the form of an answer in a record. A body over limit bytes is
@@ -119,11 +117,15 @@
 	return stored
 }
 
-// savedOutcome gives out a stored answer.
+// savedOutcome gives out a stored answer, but never without its body.
 func savedOutcome(stored wire.AttemptAnswer) Outcome {
+	body, err := base64.StdEncoding.DecodeString(stored.Body)
+	if err != nil || !stored.BodyKept {
+		return unknown(fmt.Sprintf("the call ran with status %d, but its answer was too large to be kept", stored.Status))
+	}
 	answer := Answer{
-		Status:   stored.Status,
-		BodyKept: stored.BodyKept,
+		Status: stored.Status,
+		Body:   body,
 	}
 	for _, header := range stored.Headers {
 		answer.Headers = append(answer.Headers, service.Header{
@@ -131,11 +133,6 @@
 			Value: header.Value,
 		})
 	}
-	body, err := base64.StdEncoding.DecodeString(stored.Body)
-	if err != nil {
-		answer.BodyKept = false
-	}
-	answer.Body = body
 
 	return Outcome{
 		Kind:   KindSaved,
