Tell a repeat during an outage what the shard's owner knows

Cause: a repeat whose record had moved into a segment was told NotRun while the store was down: true of the request, but the owner knew better. Change: an owner that can't write looks a key up in its records and in the indexes of its segments before it says NotRun. Conclusion: with the owner alive a repeat isn't told NotRun.

--- a/attempt/schedule_test.go
+++ b/attempt/schedule_test.go
@@ -243,6 +243,41 @@
 	}
 }
 
+// TestRepeatWhileStoreIsDown repeats calls at another instance while the store
+// is down. The owner of the shard knows the newest answers and that older
+// calls were made; a new call is refused.
+func TestRepeatWhileStoreIsDown(t *testing.T) {
+	cfg := scheduleConfig(unsafeConfig{})
+	cfg.Shards = 1
+	cfg.SpillBytes = 3000
+	f := newFleet(1, 3, cfg)
+	f.forwards = true
+	for key := range 12 {
+		f.request(1, fmt.Sprint("key-", key), fmt.Sprint("first-", key))
+		f.clock.Advance(time.Second)
+	}
+	owner := f.nodes[0].book.writers[0].shard
+	owner.open = nil
+	newest := len(owner.value.Records)
+	f.storeDown = true
+	f.outcomes = map[Kind]int{}
+	for key := range 13 {
+		f.request(2, fmt.Sprint("key-", key), fmt.Sprint("second-", key))
+	}
+	f.clock.Advance(5 * time.Second)
+	want := map[Kind]int{
+		KindSaved:   newest,
+		KindUnknown: 12 - newest,
+		KindNotRun:  1,
+	}
+	if diff := cmp.Diff(want, f.outcomes); diff != "" || newest == 12 {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+	if wrong := f.check(); len(wrong) > 0 {
+		t.Errorf("violations %v", wrong)
+	}
+}
+
 // TestLargeAnswersFit saves answers at once that together are larger than an
 // object may be.
 func TestLargeAnswersFit(t *testing.T) {
--- a/attempt/shard.go
+++ b/attempt/shard.go
@@ -221,19 +221,33 @@
 // refuse ends a begin without a run. What is known of the key goes before
 // the statement that this call has not run.
 func (s *shard) refuse(o *operation) {
-	outcome := notRun("the record could not be stored in time; an earlier call with the key may have run")
+	outcome := s.known(o)
+	if o.result.settle(outcome) {
+		s.cfg.Log.Write(event.AttemptRefused, zap.String("Shard", s.name), zap.String("Outcome", string(outcome.Kind)))
+	}
+}
+
+// known is the outcome of a begin by what was read or written before.
+func (s *shard) known(o *operation) Outcome {
 	for i := range s.value.Records {
 		record := &s.value.Records[i]
-		if record.Key == o.record.Key && record.Attempt != o.record.Attempt && record.BodyHash == o.record.BodyHash {
-			outcome = unknown("an earlier call with the key may have run")
-			if record.Answer.Status != 0 {
-				outcome = savedOutcome(record.Answer)
-			}
+		if record.Key != o.record.Key || record.Attempt == o.record.Attempt || record.BodyHash != o.record.BodyHash {
+			continue
 		}
+		if record.Answer.Status != 0 {
+			return savedOutcome(record.Answer)
+		}
+
+		return unknown("an earlier call with the key may have run")
 	}
-	if o.result.settle(outcome) {
-		s.cfg.Log.Write(event.AttemptRefused, zap.String("Shard", s.name), zap.String("Outcome", string(outcome.Kind)))
+	number := keyNumber(o.record.Key)
+	for _, index := range s.indexes {
+		if _, ok := index[number]; ok {
+			return unknown("an earlier call with the key may have run")
+		}
 	}
+
+	return notRun("the record could not be stored in time; an earlier call with the key may have run")
 }
 
 // planSpill moves older records into a segment when the value has grown, and
