Refuse unknown operations of peers and show that Close ends a watch

Cause: an operation of a later version would have stopped the process; no test closed a client with a watch open. Change: such a request is answered NotRun; TestClientClose. Conclusion: a peer's message can't end a process.

--- a/attempt/forward.go
+++ b/attempt/forward.go
@@ -17,6 +17,9 @@
 	_applyTimeout = 1200 * time.Millisecond
 )
 
+// _operations are those that a peer may ask for.
+var _operations = []operationKind{operationBegin, operationFinish, operationRelease}
+
 // Owner is the instance, out of the names of those alive, that should write a
 // shard. Instances that agree on the names agree on the owner, and a change
 // of the names moves few shards. It is empty without names.
@@ -59,6 +62,11 @@
 // after BeginTimeout. A begin that was refused never takes effect later: its
 // record is released if it is stored all the same.
 func (b *Book) accept(request wire.AttemptRequest, deliver func(wire.AttemptReply)) {
+	if !slices.Contains(_operations, request.Operation) {
+		deliver(replyOf(notRun("unknown operation " + string(request.Operation))))
+
+		return
+	}
 	now := b.cfg.Timer.Now()
 	timeout := min(b.cfg.BeginTimeout, time.Duration(request.TimeoutMilliseconds)*time.Millisecond)
 	b.submit(&operation{
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -22,9 +23,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	client := platform.NewClient(p.Address, metrics.NewRegistry())
 	t.Cleanup(p.Close)
+	t.Cleanup(client.Close)
 
-	return p, platform.NewClient(p.Address, metrics.NewRegistry()).Store("Test")
+	return p, client.Store("Test")
 }
 
 // TestClientOutcomes holds the client's outcomes against the server's under
@@ -186,6 +189,28 @@
 	}
 }
 
+// TestClientClose ends a watch that waits.
+func TestClientClose(t *testing.T) {
+	p, err := standin.NewPlatform(standin.PlatformConfig{Address: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	client := platform.NewClient(p.Address, metrics.NewRegistry())
+	ended := make(chan error)
+	go func() {
+		_, err := client.Store("Test").Watch(t.Context(), "Thing", 0)
+		ended <- err
+	}()
+	for p.Store.Calls()["watch"] == 0 {
+		runtime.Gosched()
+	}
+	client.Close()
+	if err := <-ended; platform.CodeOf(err) != platform.CodeUnknown {
+		t.Errorf("watch ended with %v", err)
+	}
+}
+
 // TestPlatformRates counts calls and refuses those over the rates.
 func TestPlatformRates(t *testing.T) {
 	p, store := newPlatform(t, standin.PlatformConfig{WritesPerSecond: 0.001})
