--- a/attempt/shard.go
+++ b/attempt/shard.go
@@ -22,7 +22,8 @@
 
 const (
 	_maxWaiting        = 4096
-	_maxDraftBytes     = 768 << 10
+	_maxDraftBytes     = 512 << 10
+	_maxAnsweredBytes  = 896 << 10
 	_maxOpenSegments   = 4
 	_failuresUntilDown = 3
 	_conflictsToWait   = 2
@@ -79,7 +80,9 @@
 	indexes  map[string]map[uint64]struct{}
 	open     []openSegment
 	spill    *spill
+	merge    *spill
 	spills   int
+	merges   int
 	dropped  []wire.AttemptSegmentRef
 	failures int
 	conflict int
@@ -131,10 +134,12 @@
 	if next, ok := s.planSpill(now); ok {
 		return next
 	}
-	next, ok := s.planWrite(now)
-	if ok {
+	if next, ok := s.planWrite(now); ok {
 		return next
 	}
+	if s.merge != nil {
+		return s.get(now, _kindSegment, s.merge.sources[s.merge.read].Name)
+	}
 	if len(s.dropped) > 0 {
 		return s.call(now, stepDelete, wire.Object{
 			Kind:    _kindSegment,
@@ -151,7 +156,7 @@
 }
 
 func (s *shard) hasWork() bool {
-	return len(s.waiting) > 0 || s.inDoubt || s.spill != nil || len(s.dropped) > 0
+	return len(s.waiting) > 0 || s.inDoubt || s.spill != nil || s.merge != nil || len(s.dropped) > 0
 }
 
 // wait waits until a time, or the first deadline before it.
@@ -216,30 +221,41 @@
 // refuse ends a begin without a run. What is known of the key goes before
 // the statement that this call has not run.
 func (s *shard) refuse(o *operation) {
-	outcome := notRun("the record could not be stored in time; an earlier call with the key may have run")
+	outcome := s.known(o)
+	if o.result.settle(outcome) {
+		s.cfg.Log.Write(event.AttemptRefused, zap.String("Shard", s.name), zap.String("Outcome", string(outcome.Kind)))
+	}
+}
+
+// known is the outcome of a begin by what was read or written before.
+func (s *shard) known(o *operation) Outcome {
 	for i := range s.value.Records {
 		record := &s.value.Records[i]
-		if record.Key == o.record.Key && record.Attempt != o.record.Attempt && record.BodyHash == o.record.BodyHash {
-			outcome = unknown("an earlier call with the key may have run")
-			if record.Answer.Status != 0 {
-				outcome = savedOutcome(record.Answer)
-			}
+		if record.Key != o.record.Key || record.Attempt == o.record.Attempt || record.BodyHash != o.record.BodyHash {
+			continue
 		}
+		if record.Answer.Status != 0 {
+			return savedOutcome(record.Answer)
+		}
+
+		return unknown("an earlier call with the key may have run")
 	}
-	if o.result.settle(outcome) {
-		s.cfg.Log.Write(event.AttemptRefused, zap.String("Shard", s.name), zap.String("Outcome", string(outcome.Kind)))
+	number := keyNumber(o.record.Key)
+	for _, index := range s.indexes {
+		if _, ok := index[number]; ok {
+			return unknown("an earlier call with the key may have run")
+		}
 	}
+
+	return notRun("the record could not be stored in time; an earlier call with the key may have run")
 }
 
-// planSpill moves older records into a segment when the value has grown.
+// planSpill moves older records into a segment when the value has grown, and
+// stores the segment.
 func (s *shard) planSpill(now time.Time) (step, bool) {
-	if s.spill == nil && !s.inDoubt && valueBytes(s.value) > s.cfg.SpillBytes {
+	if bytes := valueBytes(s.value); s.spill == nil && !s.inDoubt && bytes > s.cfg.SpillBytes {
 		old := now.Add(s.cfg.Life - s.cfg.AnswerWait)
-		s.spill = chooseSpill(s.value, s.cfg.SpillBytes/2, int(old.UnixMilli()))
-		if s.spill != nil {
-			s.spills++
-			s.spill.ref.Name = fmt.Sprintf("%s.%s.%d.%d", s.name, s.cfg.Instance, s.cfg.Incarnation, s.spills)
-		}
+		s.startSpill(chooseSpill(s.value, bytes/2, int(old.UnixMilli())))
 	}
 	if s.spill == nil || s.spill.ref.Version != 0 {
 		return step{}, false
@@ -252,6 +268,15 @@
 	}), true
 }
 
+// startSpill names a segment to be stored. No two segments have one name.
+func (s *shard) startSpill(next *spill) {
+	s.spill = next
+	if next != nil {
+		s.spills++
+		next.ref.Name = fmt.Sprintf("%s.%s.%d.%d", s.name, s.cfg.Instance, s.cfg.Incarnation, s.spills)
+	}
+}
+
 // planWrite drafts the next value and writes it, or reads what the draft
 // needs first.
 func (s *shard) planWrite(now time.Time) (step, bool) {
@@ -347,9 +372,13 @@
 
 			return settled
 		}
-		d.bytes -= recordBytes(*record)
-		record.Answer = o.record.Answer
-		d.bytes += recordBytes(*record)
+		answered := *record
+		answered.Answer = o.record.Answer
+		if d.bytes+recordBytes(answered)-recordBytes(*record) > _maxAnsweredBytes {
+			return waits
+		}
+		d.bytes += recordBytes(answered) - recordBytes(*record)
+		*record = answered
 
 		return applied
 	case operationRelease:
@@ -528,6 +557,9 @@
 			delete(s.indexes, name)
 		}
 	}
+	if s.merge != nil && s.merge.isStale(value) {
+		s.merge = nil
+	}
 }
 
 func (s *shard) doneGetSegment(st step, r stepResult, now time.Time) {
@@ -535,17 +567,34 @@
 	switch code := platform.CodeOf(r.err); {
 	case code == platform.CodeNotFound:
 		s.mustRead = true
+		s.merge = nil
 		s.waitFrom(now)
 
 		return
 	case code != "":
 		return
 	case !s.decode(r.object, &segment):
+		s.merge = nil
 		s.waitFrom(now)
 
 		return
 	}
 	s.index(st.object.Name, segment.Records)
+	s.takeSource(st.object.Name, segment.Records, now)
+}
+
+// takeSource adds a segment's records to the merge that wants them.
+func (s *shard) takeSource(name string, records []wire.AttemptRecord, now time.Time) {
+	if s.merge == nil || s.merge.sources[s.merge.read].Name != name {
+		return
+	}
+	s.merge.add(s.removalTime(now), records...)
+	s.merge.read++
+	if s.merge.read == len(s.merge.sources) {
+		s.merges++
+		s.startSpill(s.merge)
+		s.merge = nil
+	}
 }
 
 // index notes the keys of a segment and keeps its records at hand.
@@ -581,6 +630,9 @@
 		s.adopt(d.value, r.object.Version, st.started)
 		s.dropped = append(s.dropped, d.dropped...)
 		s.finishBatch(d.batch, now)
+		if s.merge == nil && s.spill == nil {
+			s.merge = chooseMerge(s.value, s.cfg.SpillBytes/2)
+		}
 	case platform.CodeUnknown:
 		s.inDoubt = true
 		s.mustRead = !s.cfg.unsafe.blindRetry
