Keep backend servers of the configuration in the view

Cause: a backend server that the platform doesn't list yet had no place in the view, so its own word that it leaves was dropped. Change: Detector.KnowServers; findings about backend servers are ordered by the servers' clocks alone, whatever the list says of incarnations.

--- a/membership/detector.go
+++ b/membership/detector.go
@@ -82,6 +82,8 @@
 	info    wire.Member
 	finding wire.Finding
 	listed  bool
+	// configured says that the configuration names the backend server.
+	configured bool
 	// since is when the health became what it is.
 	since time.Time
 }
@@ -136,6 +138,31 @@
 	d.push()
 }
 
+// KnowServers tells which backend servers the configuration names, so that
+// they have a place in the view even while the platform doesn't list them.
+func (d *Detector) KnowServers(servers []wire.BackendServer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.members {
+		m.configured = false
+	}
+	for _, server := range servers {
+		m, known := d.members[server.Name]
+		if !known {
+			m = &member{
+				info: describeServer(server),
+				finding: wire.Finding{
+					Name:   server.Name,
+					Health: wire.FindingHealthAlive,
+				},
+				since: d.Timer.Now(),
+			}
+			d.members[server.Name] = m
+		}
+		m.configured = true
+	}
+}
+
 // ReportServer notes what a backend server says of itself, at a time in its
 // own clock.
 func (d *Detector) ReportServer(name string, leaving bool, atUnixMilliseconds int) {
@@ -291,7 +318,7 @@
 		case suspect && m.isPeer() && age >= limit:
 			d.accuse(name, wire.FindingHealthFailed)
 			d.push()
-		case !m.listed && age >= _forgetAfter && (!m.isPeer() || m.finding.Health == wire.FindingHealthFailed):
+		case !m.listed && !m.configured && age >= _forgetAfter && (!m.isPeer() || m.finding.Health == wire.FindingHealthFailed):
 			delete(d.members, name)
 			d.names = nil
 			d.Log.Write(event.MemberGone, zap.String("Member", name))
@@ -509,6 +536,10 @@
 		d.names = nil
 	}
 	m.listed = true
+	if info.Role != wire.MemberRoleEntry {
+		// Findings about backend servers are ordered by the servers' clocks.
+		info.Incarnation = 0
+	}
 	if info.Incarnation < m.finding.Incarnation {
 		return
 	}
@@ -534,6 +565,22 @@
 	}
 }
 
+func describeServer(server wire.BackendServer) wire.Member {
+	role := wire.MemberRoleEngine
+	if server.Kind == wire.BackendServerKindService {
+		role = wire.MemberRoleService
+	}
+
+	return wire.Member{
+		Name:          server.Name,
+		Role:          role,
+		State:         wire.MemberStateLive,
+		FailureDomain: server.FailureDomain,
+		Size:          1,
+		CallerAddress: server.Address,
+	}
+}
+
 func memberOf(f wire.Finding) wire.Member {
 	return wire.Member{
 		Name:          f.Name,
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -176,10 +176,14 @@
 	for seed := range uint64(_seeds) {
 		w := newNetwork(seed, 24, Unguarded{})
 		w.loss = 0.05
+		for _, y := range w.order {
+			y.KnowServers([]wire.BackendServer{{Name: "unlisted"}})
+		}
 		w.watch(10 * time.Second)
 		x, witness := w.order[seed%24], w.order[(seed+5)%24]
 		x.Leave()
 		witness.ReportServer("engine", true, 100)
+		witness.ReportServer("unlisted", true, 100)
 		longest = max(longest, w.until(time.Minute, func(y *node) bool {
 			members := y.Members()
 			leaving := 0
@@ -189,7 +193,7 @@
 				}
 			}
 
-			return leaving == 2
+			return leaving == 3
 		}))
 		witness.ReportServer("engine", false, 99)
 		witness.ReportRefused("engine")
