--- a/order/schedule_test.go
+++ b/order/schedule_test.go
@@ -70,6 +70,7 @@
 	Evicted       int
 	Loads         int
 	Adapters      int
+	PeakLoads     int
 	Lost          int
 	Late          int
 	Doubled       int
@@ -85,6 +86,7 @@
 	rng       *rand.Rand
 	timer     *timer.Service
 	store     *standin.Store
+	weights   *standin.WeightStore
 	fleet     placement.Fleet
 	engines   []*engine
 	instances []*instance
@@ -137,12 +139,12 @@
 		rng:     rand.New(rand.NewPCG(seed, 5)),
 		timer:   timer.NewVirtual(time.Unix(1_000_000, 0)),
 		store:   standin.NewStore(),
+		weights: standin.NewWeightStore(),
 		demand:  map[string]float64{},
 		serving: map[string][]*engine{},
 		cause:   map[string]string{},
 		lost:    map[string]time.Time{},
 	}
-	weights := standin.NewWeightStore()
 	for i := range cmp.Or(sh.servers, 6) {
 		settings := wire.BackendServer{
 			Name:            fmt.Sprintf("engine-%d", i),
@@ -164,7 +166,7 @@
 		w.fleet.Servers = append(w.fleet.Servers, settings)
 		e := &engine{
 			name: settings.Name,
-			at:   standin.NewAccelerators(settings, weights),
+			at:   standin.NewAccelerators(settings, w.weights),
 		}
 		e.at.IgnoresMemory = sh.ignoresMemory
 		w.engines = append(w.engines, e)
@@ -511,6 +513,7 @@
 		w.tally.Overcommitted = max(w.tally.Overcommitted, e.at.OvercommittedBytes())
 		w.tally.Loads += e.at.Loads()
 	}
+	w.tally.PeakLoads = w.weights.PeakLoads()
 
 	return w.tally
 }
@@ -605,6 +608,7 @@
 	s.Evicted += o.Evicted
 	s.Loads += o.Loads
 	s.Adapters += o.Adapters
+	s.PeakLoads = max(s.PeakLoads, o.PeakLoads)
 	s.Lost += o.Lost
 	s.Late += o.Late
 	s.Doubled += o.Doubled
