Count a spare only on another server, and act on the catalog at once

Change: a spare stands on another server; an outdated copy stays until the model serves without it on two servers, where there are two; it may make room for the new version on its own server. What found no room is looked at again after 10 s. A holder acts on a changed catalog in its next step and not only at its next idle report.

--- a/order/lease.go
+++ b/order/lease.go
@@ -48,8 +48,10 @@
 	status     atomic.Pointer[Status]
 	nextTry    time.Time
 	nextReport time.Time
-	unwanted   time.Time
-	note       string
+	// changes is the catalog's count of changes at the last step.
+	changes  int
+	unwanted time.Time
+	note     string
 }
 
 // turn is what one step goes by.
@@ -80,11 +82,23 @@
 	if t.now.Sub(s.checked) >= s.Options.RecheckPeriod && !s.reread(ctx) && !s.held {
 		return
 	}
-	if s.urgent.Swap(false) || !t.now.Before(s.nextReport) {
+	if s.urgent.Swap(false) || s.hasNewWork() || !t.now.Before(s.nextReport) {
 		s.reconcile(ctx, t)
 	}
 }
 
+// hasNewWork reports whether the catalog has changed and asks for something of
+// this server.
+func (s *server) hasNewWork() bool {
+	changes := s.Catalog.Changes()
+	if changes == s.changes {
+		return false
+	}
+	s.changes = changes
+
+	return slices.ContainsFunc(s.Catalog.On(s.settings.Name), unfinished)
+}
+
 // take takes the lease unless another live instance holds it. One that doesn't
 // hand it over in good time loses it all the same: taking it is safe at any
 // time.
--- a/order/manager.go
+++ b/order/manager.go
@@ -80,6 +80,7 @@
 	Store       platform.Store
 	Catalog     *placement.Catalog
 	// Send sends an order once. An error means that the outcome is unknown.
+	// Send and Report must end within a second or two.
 	Send func(ctx context.Context, server string, order wire.Order) (wire.OrderResult, error)
 	// Report asks a backend server for its load report.
 	Report func(ctx context.Context, server string) (wire.LoadReport, error)
--- a/placement/catalog.go
+++ b/placement/catalog.go
@@ -28,6 +28,7 @@
 	objects  map[string]entry
 	revision int
 	sequence int
+	changes  int
 	loaded   bool
 }
 
@@ -115,6 +116,15 @@
 	return c.loaded
 }
 
+// Changes counts the changes of the mirror, so that a reader can tell whether
+// there were any.
+func (c *Catalog) Changes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.changes
+}
+
 // Copies are the copies of one model.
 func (c *Catalog) Copies(model string) []wire.Copy {
 	c.mu.Lock()
@@ -243,6 +253,7 @@
 	if object.Version < c.objects[object.Name].version {
 		return value
 	}
+	c.changes++
 	if object.Value == "" {
 		delete(c.objects, object.Name)
 
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -213,6 +213,18 @@
 	m.servers = nil
 }
 
+// goodServers is on how many backend servers good copies are.
+func (m *model) goodServers() int {
+	servers := map[string]bool{}
+	for _, c := range m.copies {
+		if c.good() {
+			servers[c.Server] = true
+		}
+	}
+
+	return len(servers)
+}
+
 // domainsWithout is in how many failure domains the model serves without one
 // of its copies.
 func (m *model) domainsWithout(c *copyState) int {
--- a/placement/need.go
+++ b/placement/need.go
@@ -69,7 +69,7 @@
 		n.reason = ReasonOnly
 	case good < m.MinCopies:
 		n.reason = ReasonMinimum
-	case good < r.options.SpareCopies && (m.maxCopies == 0 || m.maxCopies >= r.options.SpareCopies):
+	case m.goodServers() < r.options.SpareCopies && (m.maxCopies == 0 || good < m.maxCopies):
 		n.reason = ReasonSpare
 	case short && r.now.Sub(r.short[m.Name]) >= r.options.DemandHold && (m.maxCopies == 0 || good < m.maxCopies):
 		n.reason = ReasonDemand
@@ -93,9 +93,15 @@
 		if n.reason != ReasonOnly || n.model.Priority == wire.PriorityBatch {
 			limit = max(1, limit-_reservedLoads)
 		}
+		if r.now.Before(r.retry[n.model.Name]) && n.reason != ReasonOnly {
+			r.noteUnplaced(n)
+
+			continue
+		}
 		for inFlight < limit && r.tokens >= 1 {
 			gain, ok := r.place(n)
 			if !ok {
+				r.retry[n.model.Name] = r.now.Add(_retryPlace)
 				r.noteUnplaced(n)
 
 				break
@@ -203,6 +209,11 @@
 	}) {
 		return nil
 	}
+	if n.reason == ReasonSpare && slices.ContainsFunc(m.copies, func(c *copyState) bool {
+		return c.good() && c.Server == a.server
+	}) {
+		return nil
+	}
 	s := &site{at: a}
 	if n.reason != ReasonDemand {
 		if !r.makeRoom(n, s) {
@@ -299,15 +310,15 @@
 // another copy that serves, or a model of lower priority; the less urgent
 // needs leave each model its minimum and its spare, and leave recent copies.
 func (r *round) yields(c *copyState, n need) bool {
-	if c.model == n.model && n.reason != ReasonMinimum {
-		return false
-	}
 	left := c.model.serversWithout(c)
+	if c.model == n.model {
+		return left > 0 && !c.good() && (n.reason == ReasonMinimum || n.reason == ReasonSpare)
+	}
 	switch n.reason {
 	case ReasonOnly:
 		return left > 0 || rank(c.model.Priority) > rank(n.model.Priority)
 	case ReasonMinimum:
-		return left > 0 && (c.model == n.model || left >= c.model.MinCopies)
+		return left > 0 && left >= c.model.MinCopies
 	case ReasonSpare:
 		return left >= max(c.model.MinCopies, r.options.SpareCopies)
 	default:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -97,6 +97,7 @@
 	_loadTimeout    = 2 * time.Minute
 	_demandHold     = 20 * time.Second
 	_copyHold       = 10 * time.Minute
+	_retryPlace     = 10 * time.Second
 	// _reservedLoads of the loads at once are kept for the only copies of
 	// models that are not of priority Batch.
 	_reservedLoads = 2
@@ -122,9 +123,11 @@
 	seen      map[copyKey]sighting
 	short     map[string]time.Time
 	avoid     map[copyKey]time.Time
-	tokens    float64
-	at        time.Time
-	unplaced  []Unplaced
+	// retry is when a copy that found no room is looked at again, by model.
+	retry    map[string]time.Time
+	tokens   float64
+	at       time.Time
+	unplaced []Unplaced
 }
 
 // copyKey names a copy.
@@ -167,6 +170,7 @@
 		seen:      map[copyKey]sighting{},
 		short:     map[string]time.Time{},
 		avoid:     map[copyKey]time.Time{},
+		retry:     map[string]time.Time{},
 		tokens:    1,
 	}
 }
@@ -379,13 +383,25 @@
 	wanted := max(m.MinCopies, min(r.options.SpareCopies, ready+len(obsolete)))
 	for i, c := range obsolete {
 		left := ready + len(obsolete) - i - 1
-		spread := ready >= wanted || m.serversWithout(c) >= min(r.options.SpareCopies, wanted)
+		spread := m.serversWithout(c) >= min(wanted, r.options.SpareCopies, r.serversFor(m))
 		if r.options.BreakBeforeMake || (left >= wanted && spread && r.droppable(c)) {
 			r.add(ActionDrop, ReasonReplaced, c)
 		}
 	}
 }
 
+// serversFor is on how many backend servers the model could stand.
+func (r *round) serversFor(m *model) int {
+	servers := map[string]bool{}
+	for _, a := range r.accelerators {
+		if a.presence.Live && !a.presence.Leaving && m.allows(a.server) && a.memory >= m.footprint {
+			servers[a.server] = true
+		}
+	}
+
+	return len(servers)
+}
+
 // droppable says that the model has another copy that serves.
 func (r *round) droppable(c *copyState) bool {
 	return r.options.BreakBeforeMake ||
