--- a/standin/server.go
+++ b/standin/server.go
@@ -18,11 +18,11 @@
 // when the server closes, so that handlers that wait return.
 type server struct {
 	address string
+	ln      net.Listener
 	ctx     context.Context
 	cancel  context.CancelFunc
 	http    *fasthttp.Server
 	wg      conc.WaitGroup
-	ln      net.Listener
 	conns   sync.Map
 }
 
@@ -36,9 +36,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{
 		address: ln.Addr().String(),
+		ln:      ln,
 		ctx:     ctx,
 		cancel:  cancel,
-		ln:      ln,
 		http: &fasthttp.Server{
 			Handler:               func(r *fasthttp.RequestCtx) { handle(ctx, r) },
 			MaxRequestBodySize:    _maxRequestBytes,
@@ -65,9 +65,11 @@
 // close ends what waits, and waits until all connections are closed.
 func (s *server) close() {
 	s.cancel()
-	// The listener is closed once; its error says nothing new.
-	_ = s.http.Shutdown()
+	// Shutdown does nothing before Serve has begun, so the listener is closed
+	// first. Errors of closing it twice say nothing new.
+	_ = s.ln.Close()
 	s.wg.Wait()
+	_ = s.http.Shutdown()
 }
 
 // abort stops listening and cuts all connections, as the death of a process
