Make a plan independent of the order of settings

Cause: instances hand their settings over in the order of a map, so two planners could break ties in different ways. Change: the planner orders models and accelerators by name. Conclusion: one input, one plan.

--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -79,7 +82,8 @@
 	name   string
 }
 
-// index joins a fleet with the copies of a catalog.
+// index joins a fleet with the copies of a catalog. Models and accelerators
+// are ordered by name, so that a plan doesn't depend on the order of settings.
 type index struct {
 	models       []*model
 	byName       map[string]*model
@@ -97,8 +101,12 @@
 		byKey:    map[acceleratorKey]*accelerator{},
 		fullLoad: _fullLoad,
 	}
-	x.addServers(fleet.Servers, presence)
-	for _, m := range fleet.Models {
+	x.addServers(slices.SortedFunc(slices.Values(fleet.Servers), func(a, b wire.BackendServer) int {
+		return cmp.Compare(a.Name, b.Name)
+	}), presence)
+	for _, m := range slices.SortedFunc(slices.Values(fleet.Models), func(a, b wire.Model) int {
+		return cmp.Compare(a.Name, b.Name)
+	}) {
 		item := &model{
 			Model:     m,
 			footprint: m.MemoryBytes,
