Wait for forwarded answers at a planned stop, and count outcomes

Cause: an answer on its way to a shard's owner was lost when the owner failed while this instance stopped; operators saw no group size. Change: Close waits for forwarded requests before it closes the writers; a closed book refuses peers' requests at once; metrics of outcomes, time and operations in a write. Conclusion: a planned stop loses no answer that the store can take.

--- a/attempt/book.go
+++ b/attempt/book.go
@@ -19,10 +19,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"papayastair.dev/papayastair/event"
@@ -37,6 +39,8 @@
 	_ringSize     = 1024
 	_storeTimeout = 2 * time.Second
 	_closeTimeout = 5 * time.Second
+	_batchSample  = 1028
+	_batchAlpha   = 0.015
 )
 
 // Config is what a Book is made of. Zero values of the fields from Shards on
@@ -52,6 +56,12 @@
 	Store platform.Store
 	// Log takes the events.
 	Log *event.Log
+	// Registry takes the metrics; nil stands for one that nobody reads:
+	//
+	//	Attempt.Begin            time of Begin
+	//	Attempt.Outcome.<Kind>   outcomes of Begin
+	//	Attempt.Batch            operations in a write of a shard
+	Registry metrics.Registry
 	// Forward hands a request to the instance that writes a shard, and calls
 	// done once with its reply. It reports false, and does nothing, when this
 	// instance is to write the shard itself. It saves writes that conflict,
@@ -111,6 +121,9 @@
 }
 
 func (cfg Config) withDefaults() Config {
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
 	if cfg.NewBackoff == nil {
 		cfg.NewBackoff = platform.NewBackoff
 	}
@@ -142,10 +155,12 @@
 	writers []*writer
 	last    atomic.Int64
 	wg      conc.WaitGroup
-	ctx     context.Context
-	cancel  context.CancelFunc
-	closing chan struct{}
-	closed  atomic.Bool
+	// forwards are the requests on their way to other instances.
+	forwards sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+	closing  chan struct{}
+	closed   atomic.Bool
 }
 
 // New starts a book with one goroutine for each shard.
@@ -164,6 +179,7 @@
 			operations: ring.New[*operation](_ringSize),
 			wake:       make(chan struct{}, 1),
 			closing:    b.closing,
+			batch:      metrics.GetOrRegisterHistogram("Attempt.Batch", b.cfg.Registry, metrics.NewExpDecaySample(_batchSample, _batchAlpha)),
 		}
 		b.writers = append(b.writers, w)
 		b.wg.Go(func() { w.run(ctx) })
@@ -172,14 +188,17 @@
 	return b
 }
 
-// Close refuses new calls, saves the answers that wait, for at most 5 s, and
-// waits for the goroutines.
+// Close refuses new calls, waits for the requests that were forwarded, saves
+// the answers that wait, for at most 5 s, and waits for the goroutines. No
+// ticket may be finished after it; the timer, and what Forward uses, must be
+// closed later.
 func (b *Book) Close() {
 	if b.closed.Swap(true) {
 		b.wg.Wait()
 
 		return
 	}
+	b.forwards.Wait()
 	stop := b.cfg.Timer.After(_closeTimeout, func(time.Time) { b.cancel() })
 	close(b.closing)
 	b.wg.Wait()
@@ -232,8 +251,12 @@
 	if b.closed.Load() {
 		return notRun("the instance stops")
 	}
+	defer metrics.GetOrRegisterTimer("Attempt.Begin", b.cfg.Registry).UpdateSince(b.cfg.Timer.Now())
 	done := make(chan Outcome, 1)
-	begin := b.start(call, func(outcome Outcome) { done <- outcome })
+	begin := b.start(call, func(outcome Outcome) {
+		metrics.GetOrRegisterCounter("Attempt.Outcome."+string(outcome.Kind), b.cfg.Registry).Inc(1)
+		done <- outcome
+	})
 	select {
 	case <-ctx.Done():
 		begin.settle(notRun(ctx.Err().Error()))
--- a/attempt/forward.go
+++ b/attempt/forward.go
@@ -62,8 +62,8 @@
 // after BeginTimeout. A begin that was refused never takes effect later: its
 // record is released if it is stored all the same.
 func (b *Book) accept(request wire.AttemptRequest, deliver func(wire.AttemptReply)) {
-	if !slices.Contains(_operations, request.Operation) {
-		deliver(replyOf(notRun("unknown operation " + string(request.Operation))))
+	if b.closed.Load() || !slices.Contains(_operations, request.Operation) {
+		deliver(replyOf(notRun("the instance stops, or doesn't know " + string(request.Operation))))
 
 		return
 	}
@@ -103,12 +103,20 @@
 	if b.cfg.Forward == nil {
 		return false
 	}
-
-	return b.cfg.Forward(b.shardOf(o.record.Key), wire.AttemptRequest{
+	b.forwards.Add(1)
+	forwarded := b.cfg.Forward(b.shardOf(o.record.Key), wire.AttemptRequest{
 		Operation:           o.kind,
 		Record:              o.record,
 		TimeoutMilliseconds: int(b.cfg.BeginTimeout / time.Millisecond),
-	}, done)
+	}, func(reply wire.AttemptReply, err error) {
+		defer b.forwards.Done()
+		done(reply, err)
+	})
+	if !forwarded {
+		b.forwards.Done()
+	}
+
+	return forwarded
 }
 
 // begin forwards a begin, or submits it here. When forwarding fails, the
--- a/attempt/writer.go
+++ b/attempt/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
@@ -19,6 +20,7 @@
 	operations *ring.Ring[*operation]
 	wake       chan struct{}
 	closing    <-chan struct{}
+	batch      metrics.Histogram
 }
 
 // run works until ctx ends, or the book closes and nothing waits any more.
@@ -27,6 +29,9 @@
 	for ctx.Err() == nil {
 		w.takeIn()
 		st := w.shard.plan(w.cfg.Timer.Now())
+		if st.kind == stepPut && st.object.Kind == _kindShard {
+			w.batch.Update(int64(len(w.shard.draft.batch)))
+		}
 		if st.kind != stepWait {
 			w.shard.done(st, w.do(ctx, st), w.cfg.Timer.Now())
 
