--- a/configuration/follower_test.go
+++ b/configuration/follower_test.go
@@ -207,42 +207,52 @@
 
 // BenchmarkControl is the traffic of configuration and membership, the calls
 // on the store, and the processor time without connections, in virtual time,
-// with a change each 72 s.
+// with as many subtrees as instances and a change each 72 s.
 func BenchmarkControl(b *testing.B) {
 	for _, n := range []int{6, 12, 24, 48, 120, 360} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			f := newFleet(1, n, Unguarded{})
 			operator := f.operator("operator", nil)
-			apply := func(rate int) {
-				plan, err := operator.Plan(context.Background(), pair(rate))
+			var longest time.Duration
+			apply := func(change Change) {
+				plan, err := operator.Plan(context.Background(), change)
 				if err != nil {
 					b.Fatal(err)
 				}
-				if _, err := operator.Commit(context.Background(), plan); err != nil {
+				result, err := operator.Commit(context.Background(), plan)
+				if err != nil {
 					b.Fatal(err)
 				}
+				longest = max(longest, f.until(time.Minute, func() bool { return f.allHave(result.Version) }))
+			}
+			first := pair(1)
+			for i := range n {
+				first.Subtrees = append(first.Subtrees, workspaceSubtree(fmt.Sprintf("team%d", i), 1))
 			}
-			apply(1)
-			f.clock.Advance(time.Minute)
+			apply(first)
+			f.clock.Advance(2 * time.Minute)
+			longest = 0
 			var traffic counter
 			f.encoder = gob.NewEncoder(&traffic)
 			f.clock.Advance(10 * time.Second)
 			traffic, f.messages = 0, 0
 			clear(f.calls)
+			began := f.clock.Now()
 			b.ResetTimer()
 			for i := range b.N {
 				if i%72 == 0 {
-					apply(2 + i)
+					apply(pair(2 + i))
 				}
 				f.clock.Advance(time.Second)
 			}
-			seconds := float64(b.N)
+			seconds := f.clock.Now().Sub(began).Seconds()
 			b.ReportMetric(float64(traffic)/seconds/float64(n), "sent-B/s/instance")
 			b.ReportMetric(float64(f.messages)/seconds/float64(n), "sent-msg/s/instance")
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/seconds/float64(n), "us/s/instance")
 			b.ReportMetric(float64(f.calls["head"])/seconds, "head-calls/s")
 			b.ReportMetric(float64(f.calls["list"])/seconds, "list-calls/s")
 			b.ReportMetric(float64(f.calls["status"])/seconds, "status-calls/s")
+			b.ReportMetric(longest.Seconds(), "s-to-in-force")
 			if f.reversals > 0 {
 				b.Errorf("%d reversals", f.reversals)
 			}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -239,3 +239,29 @@
 		})
 	}
 }
+
+// BenchmarkNews is the time until all know that an instance has died, and
+// that another leaves, with 5% of messages lost.
+func BenchmarkNews(b *testing.B) {
+	for _, n := range []int{6, 24, 120, 360} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			var death, leave time.Duration
+			for i := range b.N {
+				w := newNetwork(uint64(i), n, Unguarded{})
+				w.loss = 0.05
+				w.clock.Advance(time.Minute)
+				dead, leaving := w.order[1], w.order[2]
+				leaving.Leave()
+				leave = max(leave, w.until(time.Minute, func(x *node) bool {
+					return x == leaving || x.members[leaving.name].finding.Leaving
+				}))
+				w.kill(dead)
+				death = max(death, w.until(time.Minute, func(x *node) bool {
+					return x.health(dead.name) == wire.FindingHealthFailed
+				}))
+			}
+			b.ReportMetric(death.Seconds(), "s-to-know-death")
+			b.ReportMetric(leave.Seconds(), "s-to-know-leaving")
+		})
+	}
+}
