Serve 2,000 streams through a graceful stop and a kill

Cause: nothing ran as separate processes. A leaving instance left itself out of the members that share the rates and refused 79 of 2,000 requests within them; a caller stayed with an instance that refused because it leaves.

--- a/caller/client.go
+++ b/caller/client.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	_streamIdle = 60 * time.Second
-	_streamEnd  = "[DONE]"
+	_streamIdle  = 60 * time.Second
+	_streamEnd   = "[DONE]"
+	_codeLeaving = "leaving"
 )
 
 // Client sends requests. Use New. It is safe for concurrent use.
@@ -133,10 +134,14 @@
 	}
 	answer.Status = resp.StatusCode()
 	answer.Failure = ""
+	answer.Code = ""
+	answer.Outcome = ""
 	if answer.Status != fasthttp.StatusOK {
 		answer.refused(resp)
 
-		return true
+		// A leaving instance hasn't run the request and names no other; the
+		// caller's next one will do.
+		return answer.Code != _codeLeaving
 	}
 	left := false
 	err := read(resp, func(value *fastjson.Value) bool {
--- a/cmd/papayastair/status.go
+++ b/cmd/papayastair/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 	"time"
@@ -58,5 +57,5 @@
 		return err
 	}
 
-	return out.print(value, fmt.Sprintf("%s", text))
+	return out.print(value, string(text))
 }
--- a/fleet/process_test.go
+++ b/fleet/process_test.go
@@ -76,17 +76,18 @@
 	}
 	t.Cleanup(p.kill)
 	lines := bufio.NewScanner(stdout)
-	if !lines.Scan() {
-		t.Fatalf("%s printed no address", name)
-	}
-	if err := json.Unmarshal(lines.Bytes(), &p.address); err != nil {
-		t.Fatalf("%s printed %q: %v", name, lines.Text(), err)
-	}
+	printed := make(chan string, 1)
 	go func() {
+		lines.Scan()
+		printed <- lines.Text()
 		_, _ = io.Copy(io.Discard, stdout)
 		_ = p.cmd.Wait()
 		close(p.done)
 	}()
+	line := <-printed
+	if err := json.Unmarshal([]byte(line), &p.address); err != nil {
+		t.Fatalf("%s printed %q: %v", name, line, err)
+	}
 
 	return p
 }
--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"papayastair.dev/papayastair/demo"
@@ -53,9 +55,11 @@
 			s.startBackendServer(t, &subtree.BackendServers[i], file)
 		}
 	}
-	// Rates that the callers of a test don't reach by themselves.
+	// Rates that the callers of a test don't reach by themselves, and one
+	// priority, since batch work may wait for long.
 	for i := range s.subtrees {
 		for w := range s.subtrees[i].Workspaces {
+			s.subtrees[i].Workspaces[w].Priority = wire.PriorityLive
 			s.subtrees[i].Workspaces[w].RateTokensPerSecond = 1000000
 			s.subtrees[i].Workspaces[w].BurstTokens = 10000000
 		}
@@ -112,7 +116,8 @@
 		BodyLimitBytes:   1 << 20,
 		MaxStreams:       4096,
 		LocateTTLSeconds: 1,
-		LogFile:          t.TempDir() + "/log",
+		PeerAddresses:    []string{},
+		LogFile:          logFile(t, i),
 		LogLevel:         "info",
 	}
 	p := start(t, cfg.Name, "serve", writeJSON(t, "settings.json", cfg))
@@ -214,3 +219,15 @@
 
 	return string(body)
 }
+
+// logFile is where an instance's log goes: into the directory that
+// PAPAYASTAIR_TEST_LOGS names, or one that goes with the test.
+func logFile(t *testing.T, i int) string {
+	t.Helper()
+	dir := os.Getenv("PAPAYASTAIR_TEST_LOGS")
+	if dir == "" {
+		dir = t.TempDir()
+	}
+
+	return filepath.Join(dir, fmt.Sprintf("%s-%d.log", t.Name(), i+1))
+}
--- a/instance/control.go
+++ b/instance/control.go
@@ -119,7 +119,8 @@
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
-		if m.Role != wire.MemberRoleEntry || !m.IsUsable() {
+		// A leaving instance still serves, and needs its part until it ends.
+		if m.Role != wire.MemberRoleEntry || m.Health == wire.FindingHealthFailed {
 			continue
 		}
 		peers = append(peers, m.Name)
@@ -131,6 +132,7 @@
 	}
 	i.ledger.SetMembers(quotaMembers)
 	i.suspects.SetPeers(peers)
+	i.queue.SetInstances(len(peers))
 	for server, share := range i.queue.Shares(i.table.Serving()) {
 		i.table.SetShare(server, share)
 	}
--- a/instance/request.go
+++ b/instance/request.go
@@ -178,7 +178,10 @@
 	if !ok {
 		panic("instance: a request in the queue without its data")
 	}
-	p.decision = i.table.Choose(p.request(i.timer.Now(), r.Floor, i.cfg.FailureDomain))
+	request := p.request(i.timer.Now(), i.cfg.FailureDomain)
+	request.Floor = r.Floor
+	request.WithinShare = r.WithinShare
+	p.decision = i.table.Choose(request)
 	if p.decision.Ticket != nil {
 		return admission.Placed
 	}
@@ -192,7 +195,7 @@
 	}
 }
 
-func (p *pending) request(now time.Time, floor bool, failureDomain string) routing.Request {
+func (p *pending) request(now time.Time, failureDomain string) routing.Request {
 	return routing.Request{
 		Model:         p.work.Target.Model,
 		Adapter:       p.work.Target.Adapter,
@@ -203,7 +206,6 @@
 		Slack:         p.work.Deadline.Sub(now),
 		FailureDomain: failureDomain,
 		Exclude:       p.work.Exclude,
-		Floor:         floor,
 		Retry:         p.retry,
 	}
 }
@@ -224,6 +226,8 @@
 		Deadline:  work.Deadline,
 		Data:      p,
 	})
+	asked := p.request(i.timer.Now(), i.cfg.FailureDomain)
+	i.table.LogDecision(work.ID, &asked, &p.decision)
 	if outcome.Kind != admission.Dispatched {
 		return gateway.Slot{}, &gateway.Refusal{
 			Reason:     string(outcome.Reason),
@@ -270,7 +274,7 @@
 	if server == p.decision.Server {
 		return true
 	}
-	request := p.request(i.timer.Now(), false, i.cfg.FailureDomain)
+	request := p.request(i.timer.Now(), i.cfg.FailureDomain)
 	request.Only = server
 	moved := i.table.Choose(request)
 	if moved.Ticket == nil {
--- a/instance/service.go
+++ b/instance/service.go
@@ -10,6 +10,7 @@
 	"papayastair.dev/papayastair/gateway"
 	"papayastair.dev/papayastair/routing"
 	"papayastair.dev/papayastair/service"
+	"papayastair.dev/papayastair/wire"
 )
 
 const _serviceRetryAfter = 2 * time.Second
@@ -22,7 +23,25 @@
 		Timer:       i.timer,
 		Store:       i.platform.Store("Attempt"),
 		Log:         i.log,
+		Registry:    i.registry,
+		Forward:     attempt.ForwardTo(i.pool, i.shardOwner),
 	})
+	attempt.Register(i.peers, i.book)
+}
+
+// shardOwner is the peer address of the instance that writes a shard of
+// records, or empty for this one.
+func (i *Instance) shardOwner(shard int) string {
+	names := []string{i.cfg.Name}
+	addresses := map[string]string{}
+	for _, m := range i.members.Peers() {
+		if m.State != wire.MemberStateLeaving {
+			names = append(names, m.Name)
+			addresses[m.Name] = m.PeerAddress
+		}
+	}
+
+	return addresses[attempt.Owner(shard, names)]
 }
 
 // callService calls a plain service: one that may not run twice under a
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// _anyPort is the end of an address to listen on that takes a free port.
+	_anyPort         = ":0"
 	_schemaFile      = "settings.json"
 	_processSettings = "ProcessSettings"
 	_subtree         = "Subtree"
@@ -59,7 +61,7 @@
 		{field: "PeerAddress", address: settings.PeerAddress},
 		{field: "OperatorAddress", address: settings.OperatorAddress},
 	} {
-		if other, ok := addresses[a.address]; ok {
+		if other, ok := addresses[a.address]; ok && !strings.HasSuffix(a.address, _anyPort) {
 			problems = append(problems, newProblem(file, "/"+a.field, "the same address as "+other))
 		}
 		addresses[a.address] = a.field
