Delete contents that are out of use

Change: the head lists superseded contents; a commit takes old ones off the list in its own update and deletes their objects at versions read before. An operator who brings a content back writes its object anew first. Conclusion: the store holds what is in use and 32 versions back.

--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -89,6 +89,12 @@
 	Store platform.Store
 	// WriterID is unique in all processes at all times.
 	WriterID string
+	// KeepVersions is for how many versions a content that is out of use stays
+	// in the store; 0 means 32.
+	KeepVersions int
+	// TrustStored switches a guard off, for tests that show what it is for: a
+	// content that is in the store already is not written anew.
+	TrustStored bool
 	// Sleep waits between attempts; it returns early when ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
 
@@ -188,8 +194,6 @@
 	plan    Plan
 	wanted  map[string]string
 	writer  wire.Writer
-	// stored says that the contents are in the store.
-	stored bool
 	// seen is the newest version read. An older reading proves nothing: the
 	// store may serve old ones.
 	seen int
@@ -228,13 +232,19 @@
 
 		return Result{}, errors.As(err, &problems), err
 	}
-	if err := c.storeContents(ctx); err != nil {
+	if err := c.storeContents(ctx, head); err != nil {
 		return Result{}, false, err
 	}
 	next := c.next(head)
+	old, err := c.takeOld(ctx, &next)
+	if err != nil {
+		return Result{}, false, err
+	}
 	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encodeHead(next), object.Version)
 	switch platform.CodeOf(err) {
 	case "":
+		c.delete(ctx, old)
+
 		return Result{
 			Version: next.Version,
 			Changed: true,
@@ -277,26 +287,6 @@
 	return nil
 }
 
-// storeContents puts the contents under their digests. One that exists
-// already is the same by its name.
-func (c *commit) storeContents(ctx context.Context) error {
-	if c.stored {
-		return nil
-	}
-	for _, content := range c.wanted {
-		if content == "" {
-			continue
-		}
-		_, err := c.applier.Store.Put(ctx, KindSubtree, Digest(content), content, 0)
-		if err != nil && platform.CodeOf(err) != platform.CodeConflict {
-			return err
-		}
-	}
-	c.stored = true
-
-	return nil
-}
-
 // next is the head with the change in it.
 func (c *commit) next(head wire.Head) wire.Head {
 	version := head.Version + 1
@@ -329,6 +319,7 @@
 	slices.SortFunc(next.Subtrees, func(a, b wire.SubtreeRef) int { return strings.Compare(a.Path, b.Path) })
 	next.Recent = append(next.Recent, change)
 	next.Recent = next.Recent[max(0, len(next.Recent)-_maxRecent):]
+	next.Superseded = superseded(head, next)
 
 	return next
 }
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -29,6 +29,9 @@
 	instances []*instance
 	unguarded Unguarded
 	faults    faults
+	// trustStored and keepVersions are for the operators.
+	trustStored  bool
+	keepVersions int
 
 	// heads are all states of the head, in order; accepted are the versions.
 	heads    []headAt
@@ -36,6 +39,7 @@
 	// reversals and halves are what must not happen.
 	reversals int
 	halves    int
+	dangling  int
 
 	calls    map[string]int
 	messages int
@@ -353,10 +357,25 @@
 	if _, known := f.accepted[head.Version]; !known {
 		f.accepted[head.Version] = f.clock.Now()
 	}
+	f.countDangling()
 
 	return v, err
 }
 
+// countDangling counts the contents that the head names and that are not in
+// the store.
+func (f *fleet) countDangling() {
+	head, err := decodeHead(f.platform.Get(context.Background(), KindHead, HeadName))
+	if err != nil {
+		panic(err)
+	}
+	for _, ref := range head.Subtrees {
+		if _, err := f.platform.Get(context.Background(), KindSubtree, ref.Digest); err != nil {
+			f.dangling++
+		}
+	}
+}
+
 // onSnapshot checks what comes into force.
 func (f *fleet) onSnapshot(x *instance, s *settings.Snapshot) {
 	if s.Version < x.highest {
@@ -394,8 +413,10 @@
 	}
 
 	return &Applier{
-		WriterID: name,
-		Sleep:    func(_ context.Context, d time.Duration) { f.clock.Advance(min(d, 200*time.Millisecond)) },
+		WriterID:     name,
+		TrustStored:  f.trustStored,
+		KeepVersions: f.keepVersions,
+		Sleep:        func(_ context.Context, d time.Duration) { f.clock.Advance(min(d, 200*time.Millisecond)) },
 		Store: platform.Store{
 			Get: func(ctx context.Context, kind, name string) (wire.Object, error) {
 				if err := before(); err != nil {
@@ -417,6 +438,15 @@
 
 				return after(f.platform.Put(ctx, kind, name, value, version))
 			},
+			Delete: func(ctx context.Context, kind, name string, version int) error {
+				if err := before(); err != nil {
+					return err
+				}
+				err := f.platform.Delete(ctx, kind, name, version)
+				f.countDangling()
+
+				return err
+			},
 		},
 	}
 }
--- a/configuration/follower_test.go
+++ b/configuration/follower_test.go
@@ -205,6 +205,70 @@
 	}
 }
 
+// TestOldContentsAreDeletedUnlessBroughtBack lets an operator bring a content
+// back at the moment at which another is about to delete it.
+func TestOldContentsAreDeletedUnlessBroughtBack(t *testing.T) {
+	tests := []struct {
+		name        string
+		race        bool
+		trustStored bool
+		// want are the contents in the store at the end: those in use and
+		// those just superseded. The racing operator deletes two as well.
+		want         int
+		wantDangling bool
+	}{
+		{
+			name: "no race",
+			want: 4,
+		},
+		{
+			name: "brought back",
+			race: true,
+			want: 4,
+		},
+		{
+			name:         "brought back without the guard",
+			race:         true,
+			trustStored:  true,
+			want:         2,
+			wantDangling: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(1, 2, Unguarded{})
+			f.trustStored = tt.trustStored
+			f.keepVersions = 1
+			f.mustApply(t, pair(1))
+			f.mustApply(t, pair(2))
+			deleting := f.operator("deleting", nil)
+			remove, raced := deleting.Store.Delete, false
+			deleting.Store.Delete = func(ctx context.Context, kind, name string, version int) error {
+				if tt.race && !raced {
+					raced = true
+					f.mustApply(t, pair(1))
+				}
+
+				return remove(ctx, kind, name, version)
+			}
+			plan, err := deleting.Plan(context.Background(), pair(3))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := deleting.Commit(context.Background(), plan); err != nil {
+				t.Fatal(err)
+			}
+			list, err := f.platform.List(context.Background(), KindSubtree)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(list.Objects) != tt.want || f.dangling > 0 != tt.wantDangling {
+				t.Errorf("%d contents in the store, not %d; %d are missing", len(list.Objects), tt.want, f.dangling)
+			}
+		})
+	}
+}
+
 // BenchmarkControl is the traffic of configuration and membership, the calls
 // on the store, and the processor time without connections, in virtual time,
 // with as many subtrees as instances and a change each 72 s.
--- a/configuration/schedule_test.go
+++ b/configuration/schedule_test.go
@@ -20,22 +20,23 @@
 // end.
 func TestSchedules(t *testing.T) {
 	tests := []struct {
-		name          string
-		unguarded     Unguarded
-		wantReversals bool
+		name      string
+		unguarded Unguarded
+		// wantBroken says that a promise must be seen broken.
+		wantBroken bool
 	}{
 		{
 			name: "guarded",
 		},
 		{
-			name:          "older heads replace newer ones",
-			unguarded:     Unguarded{Monotone: true},
-			wantReversals: true,
+			name:       "older heads replace newer ones",
+			unguarded:  Unguarded{Monotone: true},
+			wantBroken: true,
 		},
 		{
-			name:          "started on an unconfirmed head",
-			unguarded:     Unguarded{Confirmed: true},
-			wantReversals: true,
+			name:       "started on an unconfirmed head",
+			unguarded:  Unguarded{Confirmed: true},
+			wantBroken: true,
 		},
 	}
 	for _, tt := range tests {
@@ -45,8 +46,8 @@
 				s := newSchedule(seed, tt.unguarded)
 				s.run()
 				reversals += s.reversals
-				s.check(t, seed, tt.wantReversals)
-				if tt.wantReversals && reversals > 0 {
+				s.check(t, seed, tt.wantBroken)
+				if tt.wantBroken && reversals > 0 {
 					t.Logf("%d reversals with seed %d", reversals, seed)
 
 					return
@@ -55,8 +56,8 @@
 					outcomes[outcome] += n
 				}
 			}
-			if tt.wantReversals {
-				t.Errorf("no reversal without the guard in %d schedules", _schedules)
+			if tt.wantBroken {
+				t.Errorf("nothing is broken without the guard in %d schedules", _schedules)
 			}
 			t.Logf("%d schedules: %d reversals; outcomes of apply %v", _schedules, reversals, outcomes)
 		})
@@ -72,17 +73,19 @@
 	won map[int]string
 	// unknown counts the changes whose outcome operators were not told.
 	unknown  int
-	rate     int
 	operated int
 	nested   bool
 }
 
 func newSchedule(seed uint64, unguarded Unguarded) *schedule {
-	return &schedule{
+	s := &schedule{
 		fleet:    newFleet(seed, 6, unguarded),
 		outcomes: map[string]int{},
 		won:      map[int]string{},
 	}
+	s.keepVersions = 1
+
+	return s
 }
 
 // run lets faults come and go for a while and then ends them.
@@ -144,11 +147,12 @@
 // store another operator may do the same.
 func (s *schedule) operate(name string, kind int) {
 	s.operated++
-	s.rate++
-	change := pair(1000 + s.rate)
+	// Few rates, so that contents that were out of use come back.
+	rate := 1000 + s.random.IntN(3)
+	change := pair(rate)
 	switch kind {
 	case 1:
-		change.Subtrees = append(change.Subtrees[:0:0], workspaceSubtree("c", 1000+s.rate))
+		change.Subtrees = append(change.Subtrees[:0:0], workspaceSubtree("c", rate))
 	case 2:
 		change = Change{Removed: []string{"/c"}}
 	}
@@ -223,7 +227,7 @@
 			t.Errorf("seed %d: %s has %+v in force, not %d", seed, x.self.Name, x.follower.Status(), newest)
 		}
 	}
-	if s.reversals > 0 {
-		t.Errorf("seed %d: %d reversals", seed, s.reversals)
+	if s.reversals > 0 || s.dangling > 0 {
+		t.Errorf("seed %d: %d reversals, %d missing contents", seed, s.reversals, s.dangling)
 	}
 }
--- a/wire/configuration.gen.go
+++ b/wire/configuration.gen.go
@@ -43,6 +43,10 @@
 	// Subtrees are sorted by path.
 	Subtrees []SubtreeRef `json:"Subtrees"`
 
+	// Superseded are contents that no subtree has any more and that still are in the
+	// store, oldest first.
+	Superseded []SupersededContent `json:"Superseded"`
+
 	// Version counts accepted configurations, from 1.
 	Version int `json:"Version"`
 
@@ -94,6 +98,15 @@
 	Since int `json:"Since"`
 }
 
+// SupersededContent names a content that may be deleted some versions later.
+type SupersededContent struct {
+	// Digest names the content.
+	Digest string `json:"Digest"`
+
+	// Since is the version that took it out of use.
+	Since int `json:"Since"`
+}
+
 // SyncReply answers a SyncRequest.
 type SyncReply struct {
 	// AgeMilliseconds is the time between the start of that reading and this reply.
