--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,8 +83,9 @@
 	return e.Cause
 }
 
-// Applier brings changes into the store. Its fields must be set, and each
-// Applier needs a WriterID of its own.
+// Applier brings changes into the store. Store, WriterID and Sleep must be
+// set, and each Applier needs a WriterID of its own. It keeps the contents that
+// it reads, so it is made for a command and not for a long-lived process.
 type Applier struct {
 	// Store is the platform's.
 	Store platform.Store
@@ -99,6 +101,8 @@
 	Sleep func(ctx context.Context, d time.Duration)
 
 	sequence atomic.Int64
+	// contents caches what was read, by digest.
+	contents sync.Map
 }
 
 // Read returns the configuration and its subtrees.
@@ -332,16 +336,31 @@
 }
 
 func (a *Applier) readSubtree(ctx context.Context, ref wire.SubtreeRef) (wire.Subtree, string, error) {
-	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	content, err := a.readContent(ctx, ref)
 	if err != nil {
 		return wire.Subtree{}, "", err
 	}
+	subtree, err := settings.DecodeSubtree(ref.Path, []byte(content))
+
+	return subtree, content, err
+}
+
+func (a *Applier) readContent(ctx context.Context, ref wire.SubtreeRef) (string, error) {
+	if cached, ok := a.contents.Load(ref.Digest); ok {
+		if content, ok := cached.(string); ok {
+			return content, nil
+		}
+	}
+	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	if err != nil {
+		return "", err
+	}
 	if Digest(object.Value) != ref.Digest {
-		return wire.Subtree{}, "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
+		return "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
 	}
-	subtree, err := settings.DecodeSubtree(ref.Path, []byte(object.Value))
+	a.contents.Store(ref.Digest, object.Value)
 
-	return subtree, object.Value, err
+	return object.Value, nil
 }
 
 // check resolves the configuration that the change makes out of a head.
