--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,17 +83,26 @@
 	return e.Cause
 }
 
-// Applier brings changes into the store. Its fields must be set, and each
-// Applier needs a WriterID of its own.
+// Applier brings changes into the store. Store, WriterID and Sleep must be
+// set, and each Applier needs a WriterID of its own. It keeps the contents that
+// it reads, so it is made for a command and not for a long-lived process.
 type Applier struct {
 	// Store is the platform's.
 	Store platform.Store
 	// WriterID is unique in all processes at all times.
 	WriterID string
+	// KeepVersions is for how many versions a content that is out of use stays
+	// in the store; 0 means 32.
+	KeepVersions int
+	// TrustStored switches a guard off, for tests that show what it is for: a
+	// content that is in the store already is not written anew.
+	TrustStored bool
 	// Sleep waits between attempts; it returns early when ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
 
 	sequence atomic.Int64
+	// contents caches what was read, by digest.
+	contents sync.Map
 }
 
 // Read returns the configuration and its subtrees.
@@ -188,8 +198,6 @@
 	plan    Plan
 	wanted  map[string]string
 	writer  wire.Writer
-	// stored says that the contents are in the store.
-	stored bool
 	// seen is the newest version read. An older reading proves nothing: the
 	// store may serve old ones.
 	seen int
@@ -228,13 +236,19 @@
 
 		return Result{}, errors.As(err, &problems), err
 	}
-	if err := c.storeContents(ctx); err != nil {
+	if err := c.storeContents(ctx, head); err != nil {
 		return Result{}, false, err
 	}
 	next := c.next(head)
+	old, err := c.takeOld(ctx, &next)
+	if err != nil {
+		return Result{}, false, err
+	}
 	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encodeHead(next), object.Version)
 	switch platform.CodeOf(err) {
 	case "":
+		c.delete(ctx, old)
+
 		return Result{
 			Version: next.Version,
 			Changed: true,
@@ -277,26 +291,6 @@
 	return nil
 }
 
-// storeContents puts the contents under their digests. One that exists
-// already is the same by its name.
-func (c *commit) storeContents(ctx context.Context) error {
-	if c.stored {
-		return nil
-	}
-	for _, content := range c.wanted {
-		if content == "" {
-			continue
-		}
-		_, err := c.applier.Store.Put(ctx, KindSubtree, Digest(content), content, 0)
-		if err != nil && platform.CodeOf(err) != platform.CodeConflict {
-			return err
-		}
-	}
-	c.stored = true
-
-	return nil
-}
-
 // next is the head with the change in it.
 func (c *commit) next(head wire.Head) wire.Head {
 	version := head.Version + 1
@@ -329,6 +323,7 @@
 	slices.SortFunc(next.Subtrees, func(a, b wire.SubtreeRef) int { return strings.Compare(a.Path, b.Path) })
 	next.Recent = append(next.Recent, change)
 	next.Recent = next.Recent[max(0, len(next.Recent)-_maxRecent):]
+	next.Superseded = superseded(head, next)
 
 	return next
 }
@@ -341,16 +336,31 @@
 }
 
 func (a *Applier) readSubtree(ctx context.Context, ref wire.SubtreeRef) (wire.Subtree, string, error) {
-	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	content, err := a.readContent(ctx, ref)
 	if err != nil {
 		return wire.Subtree{}, "", err
 	}
+	subtree, err := settings.DecodeSubtree(ref.Path, []byte(content))
+
+	return subtree, content, err
+}
+
+func (a *Applier) readContent(ctx context.Context, ref wire.SubtreeRef) (string, error) {
+	if cached, ok := a.contents.Load(ref.Digest); ok {
+		if content, ok := cached.(string); ok {
+			return content, nil
+		}
+	}
+	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	if err != nil {
+		return "", err
+	}
 	if Digest(object.Value) != ref.Digest {
-		return wire.Subtree{}, "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
+		return "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
 	}
-	subtree, err := settings.DecodeSubtree(ref.Path, []byte(object.Value))
+	a.contents.Store(ref.Digest, object.Value)
 
-	return subtree, object.Value, err
+	return object.Value, nil
 }
 
 // check resolves the configuration that the change makes out of a head.
