Load an adapter at once beside a model that serves

Cause: an adapter's load waited until no order about its model was in doubt, and the load that brought the model stays in doubt for 12 s. Ruled out: the ask went to the wrong instance (it had been accepted). Change: only an unload in doubt of the model holds the adapter back; a late load of what serves already changes nothing.

--- a/order/adapter.go
+++ b/order/adapter.go
@@ -45,7 +45,8 @@
 		if resident || !s.ledger.idle(key) {
 			return nil
 		}
-		if r.Adapter == "" && s.ledger.idle(keyOfResident(r)) {
+		// A load in doubt of what serves already changes nothing.
+		if r.Adapter == "" && !s.ledger.inDoubt(keyOfResident(r), wire.OrderActionUnload) {
 			hosts = append(hosts, r.Accelerator)
 		}
 	}
