--- a/engine/client.go
+++ b/engine/client.go
@@ -38,6 +38,9 @@
 	HeaderOutcome    = "X-Outcome"
 )
 
+// _parsers keep their memory from one stream to the next.
+var _parsers fastjson.ParserPool
+
 // Client calls engines. Use NewClient. It is safe for concurrent use.
 type Client struct {
 	streams *fasthttp.Client
@@ -134,7 +137,7 @@
 type Stream struct {
 	completion Completion
 	resp       *fasthttp.Response
-	parser     fastjson.Parser
+	parser     *fastjson.Parser
 }
 
 // Complete sends a request and returns its answer when the engine has
@@ -169,6 +172,7 @@
 	return &Stream{
 		completion: completion,
 		resp:       resp,
+		parser:     _parsers.Get(),
 	}, nil
 }
 
@@ -212,10 +216,11 @@
 	_ = s.resp.CloseBodyStream()
 }
 
-// Close releases the stream after Each has returned. A connection whose
+// Close releases the stream after Each has returned, once. A connection whose
 // answer was not read to its end is closed and not used again.
 func (s *Stream) Close() {
 	_ = s.resp.CloseBodyStream()
+	_parsers.Put(s.parser)
 }
 
 func (s *Stream) parse(data string) (Chunk, error) {
