--- a/standin/engine.go
+++ b/standin/engine.go
@@ -119,6 +119,14 @@
 	e.leaving.Store(true)
 }
 
+// Running is the number of requests that it works on or that wait.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.batch.Running() + e.batch.Waiting()
+}
+
 // Accelerators is the engine's account of its memory.
 func (e *Engine) Accelerators() *Accelerators {
 	return e.accelerators
