--- a/admission/queue.go
+++ b/admission/queue.go
@@ -218,7 +218,8 @@
 }
 
 // Wait submits a request and waits until it may go or is refused. A caller
-// that leaves, by ctx, frees its place in the queue.
+// that leaves, by ctx, frees its place in the queue. Dispatched may still come
+// after ctx has ended; the reserved place must then be given back.
 func (q *Queue) Wait(ctx context.Context, r *Request) Outcome {
 	done := make(chan Outcome, 1)
 	q.Submit(r, func(o Outcome) { done <- o })
--- a/experiment/bench_test.go
+++ b/experiment/bench_test.go
@@ -42,6 +42,7 @@
 	table.SetServers(benchServers(workers))
 	for i := range workers {
 		table.Observe(benchReport(i, models, running/workers))
+		table.ObserveCacheEvents(fmt.Sprint("s", i), benchEvents(i))
 	}
 	hashes := make([]int, 10)
 	for i := range hashes {
@@ -136,3 +137,18 @@
 
 	return report
 }
+
+// benchEvents fill the belief about one worker's prefix cache.
+func benchEvents(worker int) []wire.CacheEvent {
+	events := make([]wire.CacheEvent, 1024)
+	for i := range events {
+		events[i] = wire.CacheEvent{
+			Sequence:   i + 1,
+			Model:      "m",
+			PrefixHash: worker<<32 + i,
+			Present:    true,
+		}
+	}
+
+	return events
+}
--- a/experiment/capacity_test.go
+++ b/experiment/capacity_test.go
@@ -51,16 +51,7 @@
 	table.SetServers(benchServers(workers))
 	for i := range workers {
 		table.Observe(benchReport(i, models, 0))
-		events := make([]wire.CacheEvent, 1024)
-		for j := range events {
-			events[j] = wire.CacheEvent{
-				Sequence:   j + 1,
-				Model:      "m",
-				PrefixHash: i<<32 + j,
-				Present:    true,
-			}
-		}
-		table.ObserveCacheEvents(fmt.Sprint("s", i), events)
+		table.ObserveCacheEvents(fmt.Sprint("s", i), benchEvents(i))
 	}
 	used := heap() - before
 	const rounds = 200
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -70,17 +70,21 @@
 // that holds a prefix nearly always holds the shorter ones, so the search
 // halves.
 func (p *prefixBelief) longest(seed uint64, hashes []int) int {
-	if len(p.present) == 0 {
+	if len(hashes) == 0 || !p.has(seed, hashes[0]) {
 		return 0
 	}
 
-	return sort.Search(len(hashes), func(i int) bool {
-		_, ok := p.present[prefixKey(seed, hashes[i])]
-
-		return !ok
+	return 1 + sort.Search(len(hashes)-1, func(i int) bool {
+		return !p.has(seed, hashes[i+1])
 	})
 }
 
+func (p *prefixBelief) has(seed uint64, hash int) bool {
+	_, ok := p.present[prefixKey(seed, hash)]
+
+	return ok
+}
+
 func modelSeed(model string) uint64 {
 	return xxhash.Sum64String(model)
 }
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -127,8 +127,12 @@
 	return int(h.Sum64())
 }
 
-// SetPeers replaces the live instances, this one included.
+// SetPeers replaces the live instances. This one is always among them.
 func (s *Suspects) SetPeers(peers []string) {
+	peers = slices.Clone(peers)
+	if !slices.Contains(peers, s.cfg.Instance) {
+		peers = append(peers, s.cfg.Instance)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers = peers
