Keep the index of subtrees out of the head

Cause: relays read the head each second; with the list of subtrees and of superseded contents inside it had 9 KB at 6 subtrees and 46 KB at 360, which is twice the budget of an instance. Change: the index is a content of its own, named by the head; what the head remembers is halved. Conclusion: what relays read doesn't grow with the subtrees.

--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -11,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"papayastair.dev/papayastair/platform"
@@ -35,7 +38,7 @@
 // Plan is a change against the configuration that the operator has read.
 type Plan struct {
 	// Base is the configuration read.
-	Base wire.Head
+	Base Accepted
 	// Change is what is wanted.
 	Change Change
 	// Differences are what the change does to Base; none means nothing.
@@ -106,7 +109,7 @@
 }
 
 // Read returns the configuration and its subtrees.
-func (a *Applier) Read(ctx context.Context) (wire.Head, []wire.Subtree, error) {
+func (a *Applier) Read(ctx context.Context) (Accepted, []wire.Subtree, error) {
 	head, _, err := a.readHead(ctx)
 	if err != nil {
 		return head, nil, err
@@ -135,7 +138,7 @@
 		Base:   head,
 		Change: change,
 	}
-	for path, content := range wanted(change) {
+	for path, content := range ordered(wanted(change)) {
 		ref := refOf(head, path)
 		if ref.Digest == digestOf(content) {
 			continue
@@ -171,6 +174,7 @@
 			Sequence: int(a.sequence.Add(1)),
 		},
 	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(a.WriterID), uint64(c.writer.Sequence)))
 	pause := _minApplyPause
 	var err error
 	for range _maxApplyAttempts {
@@ -179,7 +183,7 @@
 		if result, done, err = c.attempt(ctx); done {
 			return result, err
 		}
-		a.Sleep(ctx, pause/2+rand.N(pause/2))
+		a.Sleep(ctx, pause/2+time.Duration(random.Int64N(int64(pause/2))))
 		pause = min(2*pause, _maxApplyPause)
 		if ctx.Err() != nil {
 			break
@@ -216,7 +220,7 @@
 		return Result{}, false, eris.Errorf("configuration: the store showed version %d and then %d", c.seen, head.Version)
 	}
 	c.seen = head.Version
-	if change, ok := changeBy(head, c.writer); ok {
+	if change, ok := changeBy(head.Head, c.writer); ok {
 		return Result{
 			Version: change.Version,
 			Changed: true,
@@ -244,7 +248,11 @@
 	if err != nil {
 		return Result{}, false, err
 	}
-	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encodeHead(next), object.Version)
+	index, err := c.storeIndex(ctx, &next)
+	if err != nil {
+		return Result{}, false, err
+	}
+	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encode(next.Head), object.Version)
 	switch platform.CodeOf(err) {
 	case "":
 		c.delete(ctx, old)
@@ -256,14 +264,17 @@
 	case platform.CodeUnknown:
 		c.doubtful = next.Version
 	default:
+		if c.doubtful == 0 {
+			c.delete(ctx, []wire.Object{index})
+		}
 	}
 
 	return Result{}, false, err
 }
 
 // isDone reports whether the head is already as wanted.
-func (c *commit) isDone(head wire.Head) bool {
-	for path, content := range c.wanted {
+func (c *commit) isDone(head Accepted) bool {
+	for path, content := range ordered(c.wanted) {
 		if refOf(head, path).Digest != digestOf(content) {
 			return false
 		}
@@ -273,8 +284,8 @@
 }
 
 // conflict compares the subtrees of the plan with those of the head.
-func (c *commit) conflict(head wire.Head) error {
-	for path, content := range c.wanted {
+func (c *commit) conflict(head Accepted) error {
+	for path, content := range ordered(c.wanted) {
 		ref := refOf(head, path)
 		if ref == refOf(c.plan.Base, path) || ref.Digest == digestOf(content) {
 			continue
@@ -292,19 +303,24 @@
 }
 
 // next is the head with the change in it.
-func (c *commit) next(head wire.Head) wire.Head {
+func (c *commit) next(head Accepted) Accepted {
 	version := head.Version + 1
-	next := wire.Head{
-		Version:  version,
-		Writer:   c.writer,
-		Subtrees: slices.Clone(head.Subtrees),
-		Recent:   slices.Clone(head.Recent),
+	next := Accepted{
+		Head: wire.Head{
+			Version: version,
+			Writer:  c.writer,
+			Recent:  slices.Clone(head.Recent),
+		},
+		Index: wire.Index{
+			Author:   c.writer,
+			Subtrees: slices.Clone(head.Subtrees),
+		},
 	}
 	change := wire.HeadChange{
 		Version: version,
 		Writer:  c.writer,
 	}
-	for path, content := range c.wanted {
+	for path, content := range ordered(c.wanted) {
 		digest := digestOf(content)
 		if refOf(head, path).Digest == digest {
 			continue
@@ -328,15 +344,24 @@
 	return next
 }
 
-func (a *Applier) readHead(ctx context.Context) (wire.Head, wire.Object, error) {
+func (a *Applier) readHead(ctx context.Context) (Accepted, wire.Object, error) {
 	object, err := a.Store.Get(ctx, KindHead, HeadName)
 	head, err := decodeHead(object, err)
+	accepted := Accepted{Head: head}
+	if err != nil || head.Version == 0 {
+		return accepted, object, err
+	}
+	content, err := a.readContent(ctx, head.IndexDigest)
+	if err != nil {
+		return accepted, object, err
+	}
+	accepted.Index, err = decodeIndex(content)
 
-	return head, object, err
+	return accepted, object, err
 }
 
 func (a *Applier) readSubtree(ctx context.Context, ref wire.SubtreeRef) (wire.Subtree, string, error) {
-	content, err := a.readContent(ctx, ref)
+	content, err := a.readContent(ctx, ref.Digest)
 	if err != nil {
 		return wire.Subtree{}, "", err
 	}
@@ -345,26 +370,26 @@
 	return subtree, content, err
 }
 
-func (a *Applier) readContent(ctx context.Context, ref wire.SubtreeRef) (string, error) {
-	if cached, ok := a.contents.Load(ref.Digest); ok {
+func (a *Applier) readContent(ctx context.Context, digest string) (string, error) {
+	if cached, ok := a.contents.Load(digest); ok {
 		if content, ok := cached.(string); ok {
 			return content, nil
 		}
 	}
-	object, err := a.Store.Get(ctx, KindSubtree, ref.Digest)
+	object, err := a.Store.Get(ctx, KindSubtree, digest)
 	if err != nil {
 		return "", err
 	}
-	if Digest(object.Value) != ref.Digest {
-		return "", eris.Errorf("configuration: content %s of %s is damaged", ref.Digest, ref.Path)
+	if Digest(object.Value) != digest {
+		return "", eris.Errorf("configuration: content %s is damaged", digest)
 	}
-	a.contents.Store(ref.Digest, object.Value)
+	a.contents.Store(digest, object.Value)
 
 	return object.Value, nil
 }
 
 // check resolves the configuration that the change makes out of a head.
-func (a *Applier) check(ctx context.Context, head wire.Head, change Change) error {
+func (a *Applier) check(ctx context.Context, head Accepted, change Change) error {
 	contents := wanted(change)
 	merged := slices.Clone(change.Subtrees)
 	for _, ref := range head.Subtrees {
@@ -378,7 +403,7 @@
 		merged = append(merged, subtree)
 	}
 	_, problems := settings.Resolve(merged)
-	for path, content := range contents {
+	for path, content := range ordered(contents) {
 		if content == "" {
 			continue
 		}
@@ -412,6 +437,17 @@
 	return contents
 }
 
+// ordered yields contents in the order of their paths.
+func ordered(contents map[string]string) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for _, path := range slices.Sorted(maps.Keys(contents)) {
+			if !yield(path, contents[path]) {
+				return
+			}
+		}
+	}
+}
+
 // digestOf is the digest of a content, and empty for none.
 func digestOf(content string) string {
 	if content == "" {
--- a/configuration/content.go
+++ b/configuration/content.go
@@ -20,7 +20,7 @@
 // one operator deletes and another brings back at the same time:
 //
 //   - who deletes reads the object's version, then takes the content off the
-//     head's Superseded list, and then deletes that version of the object;
+//     index's Superseded list, and then deletes that version of the object;
 //   - who brings a content back that its head doesn't name writes the object
 //     anew, which gives it another version, before it updates the head.
 //
@@ -29,20 +29,13 @@
 // update of the head fails, and it begins again.
 
 // storeContents puts the contents that a head doesn't name into the store.
-func (c *commit) storeContents(ctx context.Context, head wire.Head) error {
-	for _, content := range c.wanted {
+func (c *commit) storeContents(ctx context.Context, head Accepted) error {
+	for _, content := range ordered(c.wanted) {
 		digest := digestOf(content)
 		if digest == "" || names(head, digest) {
 			continue
 		}
-		object, err := c.applier.Store.Get(ctx, KindSubtree, digest)
-		if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
-			return err
-		}
-		if c.applier.TrustStored && err == nil {
-			continue
-		}
-		if _, err := c.applier.Store.Put(ctx, KindSubtree, digest, content, object.Version); err != nil {
+		if _, err := c.storeContent(ctx, digest, content); err != nil {
 			return err
 		}
 	}
@@ -50,9 +43,37 @@
 	return nil
 }
 
+// storeContent writes a content anew, whether it is there or not, and returns
+// its object.
+func (c *commit) storeContent(ctx context.Context, digest, content string) (wire.Object, error) {
+	object, err := c.applier.Store.Get(ctx, KindSubtree, digest)
+	if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
+		return object, err
+	}
+	if c.applier.TrustStored && err == nil {
+		return object, nil
+	}
+	version, err := c.applier.Store.Put(ctx, KindSubtree, digest, content, object.Version)
+
+	return wire.Object{
+		Kind:    KindSubtree,
+		Name:    digest,
+		Version: version,
+		Value:   content,
+	}, err
+}
+
+// storeIndex writes the index of a configuration and names it in its head.
+func (c *commit) storeIndex(ctx context.Context, next *Accepted) (wire.Object, error) {
+	content := encode(next.Index)
+	next.IndexDigest = Digest(content)
+
+	return c.storeContent(ctx, next.IndexDigest, content)
+}
+
 // takeOld takes some old contents off the Superseded list of a head that is
 // to be written, and returns their objects.
-func (c *commit) takeOld(ctx context.Context, next *wire.Head) ([]wire.Object, error) {
+func (c *commit) takeOld(ctx context.Context, next *Accepted) ([]wire.Object, error) {
 	keep := cmp.Or(c.applier.KeepVersions, _keepVersions)
 	var old []wire.Object
 	for len(old) < _maxDeleted && len(next.Superseded) > 0 && next.Superseded[0].Since+keep <= next.Version {
@@ -78,8 +99,14 @@
 }
 
 // superseded is the list of a head that follows another.
-func superseded(head, next wire.Head) []wire.SupersededContent {
+func superseded(head, next Accepted) []wire.SupersededContent {
 	list := slices.Clone(head.Superseded)
+	if head.IndexDigest != "" {
+		list = append(list, wire.SupersededContent{
+			Digest: head.IndexDigest,
+			Since:  next.Version,
+		})
+	}
 	for _, ref := range head.Subtrees {
 		list = append(list, wire.SupersededContent{
 			Digest: ref.Digest,
@@ -91,6 +118,6 @@
 }
 
 // names reports whether a head has a subtree with a content.
-func names(head wire.Head, digest string) bool {
+func names(head Accepted, digest string) bool {
 	return slices.ContainsFunc(head.Subtrees, func(ref wire.SubtreeRef) bool { return ref.Digest == digest })
 }
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -369,8 +369,18 @@
 	if err != nil {
 		panic(err)
 	}
-	for _, ref := range head.Subtrees {
-		if _, err := f.platform.Get(context.Background(), KindSubtree, ref.Digest); err != nil {
+	digests := []string{head.IndexDigest}
+	if object, err := f.platform.Get(context.Background(), KindSubtree, head.IndexDigest); err == nil {
+		index, err := decodeIndex(object.Value)
+		if err != nil {
+			panic(err)
+		}
+		for _, ref := range index.Subtrees {
+			digests = append(digests, ref.Digest)
+		}
+	}
+	for _, digest := range digests {
+		if _, err := f.platform.Get(context.Background(), KindSubtree, digest); err != nil {
 			f.dangling++
 		}
 	}
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -77,11 +77,12 @@
 	tick    *timer.Subscription
 	relay   bool
 
-	// inForce is the head in force; snapshot is what it resolves to.
-	inForce  wire.Head
+	// inForce is in force; snapshot is what it resolves to.
+	inForce  Accepted
 	snapshot *settings.Snapshot
-	// pending is a newer head, whose contents are gathered in contents.
-	pending      wire.Head
+	// pending is newer; its index, once it is here, and its contents are
+	// gathered in contents.
+	pending      Accepted
 	pendingSince time.Time
 	problem      string
 	contents     map[string]string
@@ -166,7 +167,7 @@
 	reply := f.evidence.reply(now)
 	reply.Version = f.inForce.Version
 	if f.inForce.Version > request.Version {
-		reply.Head = f.inForce
+		reply.Head = f.inForce.Head
 	}
 	if request.Version > f.newest() {
 		f.syncWith(request.Address, false)
@@ -311,7 +312,7 @@
 	if head.Version == f.newest() {
 		return
 	}
-	f.pending = head
+	f.pending = Accepted{Head: head}
 	f.pendingSince = f.Timer.Now()
 	f.problem = ""
 	f.gather(source)
@@ -361,8 +362,8 @@
 		f.ReadSubtree(digest, func(object wire.Object, err error) {
 			f.mu.Lock()
 			f.fetching--
-			if err == nil && f.keep(object.Value) && len(f.missing()) == 0 {
-				f.adoptIfReady()
+			if err == nil && f.keep(object.Value) {
+				f.onStoreContent(digest)
 			}
 			f.mu.Unlock()
 			f.notify()
@@ -370,8 +371,22 @@
 	}
 }
 
+// onStoreContent goes on after a content has come from the store: once the
+// index is here, the other contents are known.
+func (f *Follower) onStoreContent(digest string) {
+	if digest == f.pending.IndexDigest {
+		f.gatherFromStore(f.missing())
+	}
+	f.adoptIfReady()
+}
+
 // missing are the digests of the pending head whose contents aren't here.
 func (f *Follower) missing() []string {
+	if content, ok := f.contents[f.pending.IndexDigest]; !ok {
+		return []string{f.pending.IndexDigest}
+	} else if f.pending.Author.ID == "" {
+		f.readIndex(content)
+	}
 	var digests []string
 	for _, ref := range f.pending.Subtrees {
 		if _, ok := f.contents[ref.Digest]; !ok {
@@ -382,6 +397,21 @@
 	return digests
 }
 
+// readIndex takes the index of the pending head out of its content.
+func (f *Follower) readIndex(content string) {
+	index, err := decodeIndex(content)
+	if err != nil {
+		f.refuse(err)
+	}
+	f.pending.Index = index
+}
+
+// refuse leaves the pending version out of force for good.
+func (f *Follower) refuse(err error) {
+	f.problem = err.Error()
+	f.Log.Write(event.ConfigurationUnusable, zap.Int("Version", f.pending.Version), zap.Error(err))
+}
+
 // keep stores contents that the pending head names, and reports whether any
 // was missing.
 func (f *Follower) keep(contents ...string) bool {
@@ -402,7 +432,7 @@
 // the start, if it is known to be no older than what this instance may have
 // had in force before it was restarted.
 func (f *Follower) adoptIfReady() {
-	if f.pending.Version == 0 || f.problem != "" || len(f.missing()) > 0 {
+	if f.pending.Version == 0 || len(f.missing()) > 0 || f.problem != "" {
 		return
 	}
 	starting := f.inForce.Version == 0
@@ -411,13 +441,12 @@
 	}
 	snapshot, err := f.resolve()
 	if err != nil {
-		f.problem = err.Error()
-		f.Log.Write(event.ConfigurationUnusable, zap.Int("Version", f.pending.Version), zap.Error(err))
+		f.refuse(err)
 
 		return
 	}
 	f.inForce = f.pending
-	f.pending = wire.Head{}
+	f.pending = Accepted{}
 	f.snapshot = snapshot
 	f.evidence.serve(f.inForce.Version)
 	f.prune()
@@ -446,7 +475,7 @@
 
 // prune forgets the contents that the head in force doesn't name.
 func (f *Follower) prune() {
-	named := map[string]bool{}
+	named := map[string]bool{f.inForce.IndexDigest: true}
 	for _, ref := range f.inForce.Subtrees {
 		named[ref.Digest] = true
 	}
--- a/configuration/follower_test.go
+++ b/configuration/follower_test.go
@@ -212,25 +212,26 @@
 		name        string
 		race        bool
 		trustStored bool
-		// want are the contents in the store at the end: those in use and
-		// those just superseded. The racing operator deletes two as well.
+		// want are the contents in the store at the end, an index for each
+		// version among them: those in use and those just superseded. The
+		// racing operator deletes some as well.
 		want         int
 		wantDangling bool
 	}{
 		{
 			name: "no race",
-			want: 4,
+			want: 6,
 		},
 		{
 			name: "brought back",
 			race: true,
-			want: 4,
+			want: 6,
 		},
 		{
 			name:         "brought back without the guard",
 			race:         true,
 			trustStored:  true,
-			want:         2,
+			want:         4,
 			wantDangling: true,
 		},
 	}
--- a/configuration/head.go
+++ b/configuration/head.go
@@ -27,7 +27,13 @@
 )
 
 // _maxRecent is how many changes a head remembers.
-const _maxRecent = 32
+const _maxRecent = 16
+
+// Accepted is an accepted configuration: its head and its index.
+type Accepted struct {
+	wire.Head
+	wire.Index
+}
 
 // Digest is the name of a content: its SHA-256 in hexadecimal.
 func Digest(content string) string {
@@ -51,18 +57,27 @@
 	return head, eris.Wrap(err, "configuration: decode head")
 }
 
-func encodeHead(head wire.Head) string {
-	value, err := json.Marshal(head)
+// encode returns the JSON of a head or an index.
+func encode[T wire.Head | wire.Index](value T) string {
+	content, err := json.Marshal(value)
 	if err != nil {
-		panic(fmt.Sprintf("configuration: encode head: %v", err))
+		panic(fmt.Sprintf("configuration: encode: %v", err))
 	}
 
-	return string(value)
+	return string(content)
+}
+
+// decodeIndex reads an index out of its content.
+func decodeIndex(content string) (wire.Index, error) {
+	var index wire.Index
+	err := json.Unmarshal([]byte(content), &index)
+
+	return index, eris.Wrap(err, "configuration: decode index")
 }
 
 // refOf returns the reference to the subtree at a path; an empty one if
 // there is none.
-func refOf(head wire.Head, path string) wire.SubtreeRef {
+func refOf(head Accepted, path string) wire.SubtreeRef {
 	i, ok := slices.BinarySearchFunc(head.Subtrees, path, func(ref wire.SubtreeRef, path string) int {
 		return strings.Compare(ref.Path, path)
 	})
@@ -75,7 +90,7 @@
 
 // lastChange is the newest remembered change of a path, or one without a
 // writer that names the version since which the path is as it is.
-func lastChange(head wire.Head, path string) wire.HeadChange {
+func lastChange(head Accepted, path string) wire.HeadChange {
 	for _, change := range slices.Backward(head.Recent) {
 		if slices.Contains(change.Paths, path) {
 			return change
--- a/configuration/reading.go
+++ b/configuration/reading.go
@@ -93,7 +93,7 @@
 		ID:       f.confirmerID(),
 		Sequence: r.sequence,
 	}
-	f.WriteHead(encodeHead(head), version, func() {
+	f.WriteHead(encode(head), version, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.readIfDue(f.Timer.Now())
--- a/configuration/schedule_test.go
+++ b/configuration/schedule_test.go
@@ -83,7 +83,8 @@
 		outcomes: map[string]int{},
 		won:      map[int]string{},
 	}
-	s.keepVersions = 1
+	// Half of the schedules delete old contents soon, the others keep them.
+	s.keepVersions = int(seed % 2)
 
 	return s
 }
@@ -110,7 +111,7 @@
 func (s *schedule) change() {
 	x := s.instances[s.random.IntN(len(s.instances))]
 	flip := s.random.IntN(2) == 0
-	switch s.random.IntN(8) {
+	switch s.random.IntN(11) {
 	case 0:
 		s.faults.storeDown = flip
 	case 1:
--- a/configuration/status.go
+++ b/configuration/status.go
@@ -33,12 +33,16 @@
 	keyed := f.Keyed()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	missing := 0
+	if f.pending.Version > 0 {
+		missing = len(f.missing())
+	}
 
 	return Status{
 		Version:         f.inForce.Version,
 		Pending:         f.pending.Version,
 		Problem:         f.problem,
-		MissingContents: len(f.missing()),
+		MissingContents: missing,
 		StoreReadable:   !f.reading.failing,
 		Keyed:           keyed,
 		Subtrees:        f.inForce.Subtrees,
--- a/wire/configuration.gen.go
+++ b/wire/configuration.gen.go
@@ -28,25 +28,21 @@
 	Digests []string `json:"Digests"`
 }
 
-// Head is the accepted configuration: a version and the digest of each subtree. It
-// is the object that apply updates conditionally, so that a change of several
-// subtrees is atomic.
+// Head names the accepted configuration. It is the object that apply updates
+// conditionally, so that a change of several subtrees is atomic. It is read often
+// and therefore small.
 type Head struct {
 	// Confirmer is the instance that last rewrote the head unchanged. Since the
 	// rewrite is conditional, it proves that the head was the newest, which a reading
 	// alone doesn't.
 	Confirmer Writer `json:"Confirmer"`
 
+	// IndexDigest names the content that is the index.
+	IndexDigest string `json:"IndexDigest"`
+
 	// Recent are the newest changes, newest last, this version's among them.
 	Recent []HeadChange `json:"Recent"`
 
-	// Subtrees are sorted by path.
-	Subtrees []SubtreeRef `json:"Subtrees"`
-
-	// Superseded are contents that no subtree has any more and that still are in the
-	// store, oldest first.
-	Superseded []SupersededContent `json:"Superseded"`
-
 	// Version counts accepted configurations, from 1.
 	Version int `json:"Version"`
 
@@ -67,6 +63,20 @@
 	Writer Writer `json:"Writer"`
 }
 
+// Index lists the subtrees of a version by the digests of their contents. It is a
+// content itself: an object of kind Subtree under its own digest.
+type Index struct {
+	// Author wrote the index; no two writers make the same one.
+	Author Writer `json:"Author"`
+
+	// Subtrees are sorted by path.
+	Subtrees []SubtreeRef `json:"Subtrees"`
+
+	// Superseded are contents that no subtree has any more and that still are in the
+	// store, oldest first.
+	Superseded []SupersededContent `json:"Superseded"`
+}
+
 // InstanceStatus tells what one instance has in force.
 type InstanceStatus struct {
 	// HeardMillisecondsAgo is the time since the instance told this.
