--- a/cmd/papayastair/main.go
+++ b/cmd/papayastair/main.go
@@ -42,6 +42,7 @@
 	Demo    demoCommand    `cmd:"" help:"Run a small fleet on stand-ins in this process, with traffic and checks."`
 	Check   checkCommand   `cmd:"" help:"Check settings without any process. Example: papayastair check hierarchy/*.json"`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system."`
+	Load    loadCommand    `cmd:"" help:"Measure a fleet under load: load FILE, load compare A B."`
 }
 
 // exitError is a failure with an exit code of its own.
