Give no shares to a listed member that wasn't heard of yet

Cause: a restarted instance takes the others from the platform's list, without their incarnations until it has heard of them. It handed them to the ledger with incarnation 0, and then proposed a table of shares with runs that don't exist. Another instance proposed the true one, and so on, seven seconds each time, in which no instance had a share: calls of a workspace of 10,000,000 tokens' burst were refused as over the rate.

Change: members go to the ledger only when each that isn't failed has been heard of. TestPrintsAtMostOnce waits until all instances admit prints, and logs the refusals after that.

A table with 2 of 6 members was still proposed by a restarted instance that knew only those two.

--- a/fleet/attempt_test.go
+++ b/fleet/attempt_test.go
@@ -90,6 +90,20 @@
 	wg.Wait()
 }
 
+// waitAdmitted waits until each instance admits a print, all of which are far
+// below the rate.
+func (p *prints) waitAdmitted(t *testing.T) {
+	t.Helper()
+	for i := range p.addresses {
+		eventually(t, "a print is admitted", func() bool {
+			before := p.counts["OverRate"]
+			p.print(i, p.next.Add(1))
+
+			return p.counts["OverRate"] == before
+		})
+	}
+}
+
 // print sends one request for the n-th print to an instance.
 func (p *prints) print(i int, n int64) {
 	key := fmt.Sprintf("print-%d", n)
@@ -117,6 +131,9 @@
 
 		return
 	}
+	if resp.StatusCode == http.StatusTooManyRequests {
+		p.count("OverRate")
+	}
 	p.answered(id, key, resp.Header, string(body))
 }
 
@@ -260,7 +277,10 @@
 	close(stop)
 	wg.Wait()
 	s.waitReady(t)
+	p.waitAdmitted(t)
+	before := p.counts["OverRate"]
 	p.repeatAll(callers)
+	t.Logf("after the faults %d of %d repeats within the rate were refused as over it", p.counts["OverRate"]-before, p.next.Load())
 	var runs []standin.Run
 	getJSON(t, "http://"+s.services["printer-1"].address.CallerAddress+"/runs", &runs)
 	requests := loggedRequests(t, dir)
--- a/instance/control.go
+++ b/instance/control.go
@@ -117,6 +117,7 @@
 func (i *Instance) followMembers(time.Time) {
 	members := i.members.Members()
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
+	complete := true
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
 		// A leaving instance still serves, and needs its part until it ends.
@@ -124,13 +125,19 @@
 			continue
 		}
 		peers = append(peers, m.Name)
+		complete = complete && m.Incarnation > 0
 		quotaMembers = append(quotaMembers, wire.QuotaMember{
 			Instance:    m.Name,
 			Incarnation: m.Incarnation,
 			Size:        max(m.Size, 1),
 		})
 	}
-	i.ledger.SetMembers(quotaMembers)
+	// A listed member that hasn't been heard of yet has no incarnation. A
+	// table of shares with such a member would give its run nothing. It is
+	// soon heard of, or failed.
+	if complete {
+		i.ledger.SetMembers(quotaMembers)
+	}
 	i.suspects.SetPeers(peers)
 	i.queue.SetInstances(len(peers))
 	for server, share := range i.queue.Shares(i.table.Serving()) {
