Measure a decision with the same believed prefixes at each size

Cause: the benchmark's time rose with the running requests at 820 workers (6 to 10 us); these had left prefixes believed, which the runs with few lacked. Change: 10,000 requests leave theirs at each size, and all but the running end.

--- a/experiment/bench_test.go
+++ b/experiment/bench_test.go
@@ -57,8 +57,16 @@
 			Priority:     wire.PriorityLive,
 		})
 	}
-	for i := range running {
-		table.FirstToken(choose(fmt.Sprint("m", i%models)).Ticket)
+	// Requests that have ended leave their prefixes believed at every size.
+	const most = 10000
+	for i := range most {
+		ticket := choose(fmt.Sprint("m", i%models)).Ticket
+		table.FirstToken(ticket)
+		if i >= running {
+			table.Done(ticket, routing.Result{
+				Outcome: routing.OutcomeCancelled,
+			})
+		}
 	}
 	var ticket *routing.Ticket
 	queue := admission.New(admission.Config{
