quota: change limits in the seeded schedules

Cause: instances see a change of rate and burst at different moments, which no schedule tried. Change: in every fourth schedule all limits change by 0.4 or 2.5, reaching the instances within a second; the larger of both is allowed until loans ended.

--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -41,7 +41,7 @@
 
 // runFaults is one seeded schedule of failures under a flood. In every fourth
 // the largest instance is cut off for long, in every other fourth it is paused
-// inside calls, and little else happens.
+// inside calls, and little else happens. In another the limits change.
 func runFaults(seed int64, off guards, length time.Duration) *world {
 	w := newWorld(seed, []int{1, 2, 2, 3, 1, 4}, testLimits(), _shortLife, off)
 	largest := w.nodes["i005"]
@@ -58,6 +58,10 @@
 			w.pauses[name] = _pauseChance
 		}
 		w.loss, w.late = _lossChance, _lateChance
+		if seed%4 == 2 {
+			factor := []float64{0.4, 2.5}[w.rng.Intn(2)]
+			w.clock.After(length/4, func(time.Time) { w.scale(factor) })
+		}
 		w.flood(length, _faultRate)
 	}
 
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 	"time"
 
 	"papayastair.dev/papayastair/history"
@@ -19,6 +20,8 @@
 	_step     = 20 * time.Millisecond
 	_listLag  = 250 * time.Millisecond
 	_lostCall = time.Second
+	// _spread is how long a change of limits takes to reach all instances.
+	_spread = time.Second
 	// _turn is the time between the beginning and the end of a flood.
 	_turn = 1250 * time.Millisecond
 )
@@ -45,6 +48,7 @@
 	// pauses has the chance of an instance to be paused inside a call, once.
 	pauses map[string]float64
 	down   bool
+	phases []history.RateLimit
 	events []wire.HistoryEvent
 	calls  int
 	meter  *meter
@@ -123,6 +127,7 @@
 		latency: time.Millisecond,
 		pauses:  map[string]float64{},
 	}
+	w.allow(start, limits)
 	for i, size := range sizes {
 		w.boot(fmt.Sprintf("i%03d", i), size)
 	}
@@ -333,16 +338,43 @@
 
 // check returns the windows with more than rate and burst.
 func (w *world) check() []history.Violation {
-	limits := make([]history.RateLimit, 0, len(w.limits))
-	for _, limit := range w.limits {
-		limits = append(limits, history.RateLimit{
+	return history.CheckRate(w.events, w.phases)
+}
+
+// allow adds the limits that hold from a time on, for check.
+func (w *world) allow(from time.Time, limits []Limit) {
+	for _, limit := range limits {
+		w.phases = append(w.phases, history.RateLimit{
 			Workspace:           limit.Workspace,
+			FromUnixNanoseconds: int(from.UnixNano()),
 			RateTokensPerSecond: limit.RateTokensPerSecond,
 			BurstTokens:         limit.BurstTokens,
 		})
 	}
+}
 
-	return history.CheckRate(w.events, limits)
+// scale changes all limits by a factor, which the instances learn one by one.
+// The larger of both is allowed until the last has, and its loans have ended.
+func (w *world) scale(factor float64) {
+	old, limits := w.limits, slices.Clone(w.limits)
+	for i := range limits {
+		limits[i].RateTokensPerSecond *= factor
+		limits[i].BurstTokens *= factor
+	}
+	if factor > 1 {
+		w.allow(w.clock.Now(), limits)
+	} else {
+		w.allow(w.clock.Now().Add(_spread+w.life), limits)
+	}
+	w.clock.After(_spread, func(time.Time) { w.limits = limits })
+	w.limits = old
+	for _, name := range w.names {
+		n := w.nodes[name]
+		w.clock.After(time.Duration(w.rng.Int63n(int64(_spread))), func(time.Time) {
+			l := n.ledger
+			w.afterPause(n, l, func() { l.SetLimits(limits) })
+		})
+	}
 }
 
 // running returns the instances that take calls.
