--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -145,7 +145,8 @@
 // apply runs the command, and keeps the version that it tells.
 func (s *system) apply(t *testing.T, subtrees ...wire.Subtree) {
 	t.Helper()
-	args := []string{"--output", "json", "apply", "--platform", s.platform.address.CallerAddress}
+	args := make([]string, 0, 5+len(subtrees))
+	args = append(args, "--output", "json", "apply", "--platform", s.platform.address.CallerAddress)
 	for _, subtree := range subtrees {
 		args = append(args, writeJSON(t, "subtree.json", json.RawMessage(settings.Encode(subtree))))
 	}
--- a/instance/control.go
+++ b/instance/control.go
@@ -159,6 +159,7 @@
 	i.answered.Store(server.Name, true)
 	i.members.ReportServer(server.Name, report.Leaving, report.AtUnixMilliseconds)
 	i.table.Observe(report)
+	i.queue.Wake(i.table.Models(server.Name))
 }
 
 // readReports reads the reports of all engines once.
--- a/instance/request.go
+++ b/instance/request.go
@@ -22,7 +22,7 @@
 	_suspectEndMethod  = "Routing.RunEnd"
 	_demandReport      = "Admission.Demand"
 	_suspectTimeout    = 100 * time.Millisecond
-	_demandReportEvery = 500 * time.Millisecond
+	_demandReportEvery = time.Second
 	_adapterPoll       = 20 * time.Millisecond
 	// _adapterAskEvery is the number of polls between asks.
 	_adapterAskEvery = 50
@@ -79,6 +79,7 @@
 		Instance: i.cfg.Name,
 		Start:    i.self.Incarnation,
 		Clock:    i.timer,
+		Log:      i.log,
 		Place:    i.place,
 	})
 	peer.Register(i.peers, _demandReport, func(report wire.DemandReport) (receipt, error) {
@@ -123,12 +124,10 @@
 	}
 }
 
-// reportDemand tells all instances what callers here ask for.
+// reportDemand tells all instances what callers here ask for. A report of
+// nothing counts too: an instance that isn't heard keeps its even part.
 func (i *Instance) reportDemand(time.Time) {
 	report := i.queue.Report()
-	if len(report.Demands) == 0 {
-		return
-	}
 	for _, m := range i.members.Peers() {
 		peer.Go(i.pool, _suspectTimeout, m.PeerAddress, _demandReport, report, func(receipt, error) {})
 	}
@@ -169,6 +168,7 @@
 type pending struct {
 	work     gateway.Work
 	retry    bool
+	alone    bool
 	decision routing.Decision
 }
 
@@ -207,6 +207,7 @@
 		FailureDomain: failureDomain,
 		Exclude:       p.work.Exclude,
 		Retry:         p.retry,
+		Alone:         p.alone,
 	}
 }
 
@@ -216,6 +217,7 @@
 	p := &pending{
 		work:  work,
 		retry: len(work.Exclude) > 0,
+		alone: i.suspects.IsSuspect(int(work.Fingerprint)),
 	}
 	outcome := i.queue.Wait(ctx, &admission.Request{
 		Workspace: work.Caller.Workspace,
@@ -249,23 +251,32 @@
 }
 
 // leave asks whether the request may run, since it may have crashed backend
-// servers before, and moves it to the server where it has to run.
+// servers before, and moves it to the server where it has to run. If that is
+// found dead, it asks again.
 func (i *Instance) leave(ctx context.Context, p *pending) (routing.Run, *gateway.Refusal) {
-	run, answer := i.suspects.Acquire(ctx, int(p.work.Fingerprint), p.decision.Server, "")
-	switch answer.Verdict {
-	case wire.SuspectAnswerVerdictRun, wire.SuspectAnswerVerdictRunAlone:
-		return run, nil
-	case wire.SuspectAnswerVerdictRunAt:
-		if i.moveTo(p, run.Server) {
+	down := ""
+	for {
+		run, answer := i.suspects.Acquire(ctx, int(p.work.Fingerprint), p.decision.Server, down)
+		switch answer.Verdict {
+		case wire.SuspectAnswerVerdictRun, wire.SuspectAnswerVerdictRunAlone:
 			return run, nil
+		case wire.SuspectAnswerVerdictRunAt:
+			if i.moveTo(p, run.Server) {
+				return run, nil
+			}
+			i.suspects.Release(&run, routing.OutcomeNotRun)
+			if down != run.Server {
+				down = run.Server
+
+				continue
+			}
+		default:
 		}
-		i.suspects.Release(&run, routing.OutcomeNotRun)
-	default:
-	}
 
-	return run, &gateway.Refusal{
-		Reason:     "requests like this one are held after failures of backend servers",
-		RetryAfter: max(time.Duration(answer.RetryAfterMilliseconds)*time.Millisecond, time.Second),
+		return run, &gateway.Refusal{
+			Reason:     "requests like this one are held after failures of backend servers",
+			RetryAfter: max(time.Duration(answer.RetryAfterMilliseconds)*time.Millisecond, time.Second),
+		}
 	}
 }
 
@@ -301,7 +312,6 @@
 		},
 		Done: func(result gateway.Result) {
 			outcome := outcomeOf(result)
-			i.suspects.Release(&run, outcome)
 			seen := routing.Result{
 				Outcome:      outcome,
 				OutputTokens: result.OutputTokens,
@@ -312,6 +322,8 @@
 			}
 			i.table.Done(p.decision.Ticket, seen)
 			i.queue.Wake(i.table.Models(server))
+			// After a broken connection this waits until the others know.
+			i.suspects.Release(&run, outcome)
 		},
 	}
 }
