quota: name the status of a workspace without a limit for what it is

Cause: Unlimited read as if such a workspace could use any amount. Change: it is UnknownWorkspace. Conclusion: no behaviour changes; go test ./quota passes.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -49,8 +49,9 @@
 	// TooLarge means that the request is larger than the workspace's burst
 	// and can never be admitted.
 	TooLarge
-	// Unlimited means that the workspace has no limit and may not be served.
-	Unlimited
+	// UnknownWorkspace means that no limit is set for the workspace; it isn't
+	// served.
+	UnknownWorkspace
 )
 
 // bucketSet holds the buckets of all workspaces; it is replaced, not changed.
@@ -318,7 +319,7 @@
 	}
 	b := l.buckets.Load().byName[workspace]
 	if b == nil {
-		return Outcome{Status: Unlimited}, nil, key
+		return Outcome{Status: UnknownWorkspace}, nil, key
 	}
 	b.mu.Lock()
 	if float64(tokens) > b.limit.BurstTokens {
