Report an index that can't be read once

Cause: a pending version whose index can't be decoded was decoded, and logged as unusable, at each look. Change: a version with a known problem isn't read again. Conclusion: one line in the log for each unusable version.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -382,9 +382,11 @@
 
 // missing are the digests of the pending head whose contents aren't here.
 func (f *Follower) missing() []string {
-	if content, ok := f.contents[f.pending.IndexDigest]; !ok {
+	content, ok := f.contents[f.pending.IndexDigest]
+	if !ok {
 		return []string{f.pending.IndexDigest}
-	} else if f.pending.Author.ID == "" {
+	}
+	if f.pending.Author.ID == "" && f.problem == "" {
 		f.readIndex(content)
 	}
 	var digests []string
