Plan nothing from missing or old settings

Cause: a review. A planner that had read the catalog before the settings would have forgotten every copy; one with settings older than another's would have evicted the copies of a new model at once; two copies of one model on one accelerator, each of which alone may go, could both make room. Change: no plan without models and servers; what the settings lack is removed after a minute; one accelerator gives at most one copy of each model. A holder waits for the catalog. Conclusion: mended before it was met.

--- a/order/manager.go
+++ b/order/manager.go
@@ -140,6 +140,9 @@
 // Step works once on each backend server that this instance holds or should
 // hold. It must not be called by two goroutines at once.
 func (m *Manager) Step(ctx context.Context, now time.Time) {
+	if !m.Catalog.Loaded() {
+		return
+	}
 	m.setDefaults()
 	fleet := m.Fleet()
 	members := m.Members()
--- a/order/size_test.go
+++ b/order/size_test.go
@@ -72,6 +72,9 @@
 			for i := range n * 770 / 360 {
 				fillModel(b, catalog, reports, fmt.Sprintf("model-%d", i), i, servers)
 			}
+			if err := catalog.Refresh(context.Background()); err != nil {
+				b.Fatal(err)
+			}
 			m := &Manager{
 				Name:    "instance-0",
 				Store:   store,
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -103,8 +103,13 @@
 		return
 	}
 	m.observed = now
+	fleet := m.Fleet()
+	if len(fleet.Models) == 0 || len(fleet.Servers) == 0 {
+		// The settings have not been read yet.
+		return
+	}
 	in := Input{
-		Fleet:    m.Fleet(),
+		Fleet:    fleet,
 		Presence: m.Presence(),
 		Copies:   m.Catalog.All(),
 		Demand:   m.Demand(),
--- a/placement/need.go
+++ b/placement/need.go
@@ -298,6 +298,10 @@
 		if lacking <= 0 {
 			break
 		}
+		if slices.ContainsFunc(s.victims, func(o *copyState) bool { return o.model == v.model }) {
+			// Each alone may go, but not both.
+			continue
+		}
 		s.victims = append(s.victims, v)
 		s.lost += v.weight * v.model.demand
 		lacking -= v.footprint()
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -98,6 +99,9 @@
 	_demandHold     = 20 * time.Second
 	_copyHold       = 10 * time.Minute
 	_retryPlace     = 10 * time.Second
+	// _unknownHold is how long a model or accelerator must be missing from the
+	// settings, of which this instance may have an older version than others.
+	_unknownHold = time.Minute
 	// _reservedLoads of the loads at once are kept for the only copies of
 	// models that are not of priority Batch.
 	_reservedLoads = 2
@@ -124,12 +128,21 @@
 	short     map[string]time.Time
 	avoid     map[copyKey]time.Time
 	// retry is when a copy that found no room is looked at again, by model.
-	retry    map[string]time.Time
+	retry map[string]time.Time
+	// unknown is since when copies name a model or accelerator that the
+	// settings don't have.
+	unknown  map[unknownKey]time.Time
 	tokens   float64
 	at       time.Time
 	unplaced []Unplaced
 }
 
+// unknownKey names a model or an accelerator.
+type unknownKey struct {
+	model       string
+	accelerator acceleratorKey
+}
+
 // copyKey names a copy.
 type copyKey struct {
 	model       string
@@ -171,6 +184,7 @@
 		short:     map[string]time.Time{},
 		avoid:     map[copyKey]time.Time{},
 		retry:     map[string]time.Time{},
+		unknown:   map[unknownKey]time.Time{},
 		tokens:    1,
 	}
 }
@@ -217,6 +231,9 @@
 		m.demand = f.Demand()
 	}
 	p.observeCopies(in)
+	maps.DeleteFunc(p.unknown, func(key unknownKey, _ time.Time) bool {
+		return x.byName[key.model] != nil || x.byKey[key.accelerator] != nil
+	})
 	if !p.at.IsZero() {
 		elapsed := in.Now.Sub(p.at).Seconds()
 		p.tokens = min(max(1, p.options.LoadsPerSecond), p.tokens+elapsed*p.options.LoadsPerSecond)
@@ -323,6 +340,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		if !r.isUnknown(unknownKey{model: name}) {
+			continue
+		}
 		m := &model{Model: wire.Model{Name: name}}
 		for _, item := range copies[name] {
 			r.addCopy(m, item)
@@ -336,12 +356,27 @@
 	}
 }
 
+// isUnknown reports whether the settings have lacked something for long.
+func (r *round) isUnknown(key unknownKey) bool {
+	since, known := r.unknown[key]
+	if !known {
+		r.unknown[key] = r.now
+
+		return false
+	}
+
+	return r.now.Sub(since) >= _unknownHold
+}
+
 // forgetGone forgets copies whose accelerators left the settings. Copies on
 // servers that are only down stay listed: the holder of the server's orders
 // removes them when it comes back without them.
 func (r *round) forgetGone(m *model) {
 	for _, c := range slices.Clone(m.copies) {
-		if c.at == nil {
+		if c.at == nil && r.isUnknown(unknownKey{accelerator: acceleratorKey{
+			server: c.Server,
+			name:   c.Accelerator,
+		}}) {
 			r.add(ActionForget, ReasonNoAccelerator, c)
 		}
 	}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+// TestUnknownIsHeld checks that a planner with settings older than another's
+// doesn't at once remove what it doesn't know.
+func TestUnknownIsHeld(t *testing.T) {
+	w := newDay(_kandy)
+	w.converge(nil)
+	w.copies["unknown"] = copiesOn("x")
+	w.copies["unknown"][0].Server = "engine-000"
+	w.copies["model-000"] = append(w.copies["model-000"], copiesOn("x")...)
+	p := NewPlanner(Options{})
+	for _, want := range []map[string]int{
+		{
+			"unknown":   1,
+			"model-000": 3,
+		},
+		{
+			"unknown":   0,
+			"model-000": 2,
+		},
+	} {
+		w.step(p, nil)
+		w.settle()
+		for model, n := range want {
+			if diff := cmp.Diff(n, len(w.copies[model])); diff != "" {
+				t.Errorf("copies of %s (-want +got):\n%s", model, diff)
+			}
+		}
+		w.now = w.now.Add(_unknownHold)
+	}
+}
+
 // TestOnlyCopyIsNotDelayed fills the weight store with the copies of batch
 // models and checks that the only copy of a live model is loaded at once.
 func TestOnlyCopyIsNotDelayed(t *testing.T) {
