Give each caller of the load tool its own address

Cause: all callers of a failure domain shared one answer of locate, so that half of the instances had no requests at a time, which many callers don't do. Change: workspaces have a number of callers, each of which asks for itself.

--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -27,8 +27,8 @@
 	At time.Duration
 	// Workspace is an index into the experiment's workspaces.
 	Workspace int
-	// FailureDomain is where the caller is.
-	FailureDomain string
+	// Caller is the caller's number in the experiment.
+	Caller int
 	// Model is a model or adapter; empty for a call of a plain service.
 	Model string
 	// Prompt is the prompt.
@@ -62,13 +62,13 @@
 	arrivals := make([]Arrival, 0, len(times))
 	for n, at := range times {
 		a := Arrival{
-			ID:            fmt.Sprintf("%s-%d", w.Name, n),
-			At:            at,
-			Workspace:     workspace,
-			FailureDomain: e.FailureDomains[random.IntN(len(e.FailureDomains))],
-			Model:         w.Models[rank(random, len(w.Models))],
-			InputTokens:   w.PrefixTokens + spread(random, w.InputTokens-w.PrefixTokens),
-			OutputTokens:  spread(random, w.OutputTokens),
+			ID:           fmt.Sprintf("%s-%d", w.Name, n),
+			At:           at,
+			Workspace:    workspace,
+			Caller:       firstCaller(e, workspace) + random.IntN(w.Callers),
+			Model:        w.Models[rank(random, len(w.Models))],
+			InputTokens:  w.PrefixTokens + spread(random, w.InputTokens-w.PrefixTokens),
+			OutputTokens: spread(random, w.OutputTokens),
 		}
 		if adapters := adaptersOf(e, a.Model); random.IntN(100) < w.AdapterPercent && adapters > 0 {
 			a.Model = adapterName(a.Model, random.IntN(adapters))
@@ -87,19 +87,29 @@
 	arrivals := make([]Arrival, 0, len(times))
 	for n, at := range times {
 		arrivals = append(arrivals, Arrival{
-			ID:            fmt.Sprintf("%s-call-%d", w.Name, n),
-			At:            at,
-			Workspace:     workspace,
-			FailureDomain: e.FailureDomains[random.IntN(len(e.FailureDomains))],
-			InputTokens:   costOf(e, w.CallPath),
-			Path:          w.CallPath,
-			Repeats:       w.CallRepeats,
+			ID:          fmt.Sprintf("%s-call-%d", w.Name, n),
+			At:          at,
+			Workspace:   workspace,
+			Caller:      firstCaller(e, workspace) + random.IntN(w.Callers),
+			InputTokens: costOf(e, w.CallPath),
+			Path:        w.CallPath,
+			Repeats:     w.CallRepeats,
 		})
 	}
 
 	return arrivals
 }
 
+// firstCaller is the number of a workspace's first caller.
+func firstCaller(e *wire.Experiment, workspace int) int {
+	first := 0
+	for i := range workspace {
+		first += e.Workspaces[i].Callers
+	}
+
+	return first
+}
+
 func costOf(e *wire.Experiment, path string) int {
 	for _, r := range e.Routes {
 		if r.Path == path {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -59,10 +59,10 @@
 
 func TestDemandShift(t *testing.T) {
 	e := &wire.Experiment{
-		Seconds:        300,
-		FailureDomains: []string{"a"},
+		Seconds: 300,
 		Workspaces: []wire.ExperimentWorkspace{{
 			Name:              "w",
+			Callers:           1,
 			ArrivalsPerMinute: 600,
 			Burstiness:        1,
 			Models:            []string{"m"},
--- a/load/locator.go
+++ b/load/locator.go
@@ -15,25 +15,26 @@
 
 const _locateRetry = 100 * time.Millisecond
 
-// locator holds, for the callers of each failure domain, the address that the
-// system told them to use, and asks again when the answer ends.
+// locator holds, for each caller, the address that the system told it to use,
+// and asks again when the answer ends.
 type locator struct {
 	client    *caller.Client
 	addresses []string
 
 	mu      sync.Mutex
-	current map[string]string
+	current []string
 }
 
-// start asks for each failure domain until ctx ends, and waits for the first
-// answers.
-func (l *locator) start(ctx context.Context, wg *conc.WaitGroup, failureDomains []string) {
-	l.current = map[string]string{}
-	for i, d := range failureDomains {
-		ttl := l.ask(d, i)
+// start asks for each caller, who are in the failure domains in turn, until
+// ctx ends, and waits for the first answers.
+func (l *locator) start(ctx context.Context, wg *conc.WaitGroup, callers int, failureDomains []string) {
+	l.current = make([]string, callers)
+	for c := range callers {
+		place := failureDomains[c%len(failureDomains)]
+		ttl := l.ask(c, place, c)
 		wg.Go(func() {
-			for n := i; platform.Sleep(ctx, ttl) == nil; n++ {
-				ttl = l.ask(d, n)
+			for n := c; platform.Sleep(ctx, ttl) == nil; n++ {
+				ttl = l.ask(c, place, n)
 			}
 		})
 	}
@@ -41,15 +42,15 @@
 
 // ask asks the instance in use, or after a failure the n-th and those behind
 // it, and returns when to ask again.
-func (l *locator) ask(failureDomain string, n int) time.Duration {
-	for _, address := range l.from(failureDomain, n) {
+func (l *locator) ask(caller int, failureDomain string, n int) time.Duration {
+	for _, address := range l.from(caller, n) {
 		var answer wire.LocateAnswer
 		err := l.client.Locate(address, failureDomain, &answer)
 		if err != nil || answer.Address == "" {
 			continue
 		}
 		l.mu.Lock()
-		l.current[failureDomain] = answer.Address
+		l.current[caller] = answer.Address
 		l.mu.Unlock()
 
 		return max(milliseconds(answer.TTLMilliseconds), _locateRetry)
@@ -58,14 +59,13 @@
 	return _locateRetry
 }
 
-// from is all addresses, that in use for a failure domain first, then from
-// the n-th on.
-func (l *locator) from(failureDomain string, n int) []string {
+// from is all addresses, that in use by a caller first, then from the n-th on.
+func (l *locator) from(caller, n int) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n %= len(l.addresses)
 	ordered := slices.Concat(l.addresses[n:], l.addresses[:n])
-	first := l.current[failureDomain]
+	first := l.current[caller]
 	if first == "" {
 		return ordered
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -113,7 +113,8 @@
 func (r *runner) run(arrivals []Arrival, target Target, progress io.Writer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties conc.WaitGroup
-	r.locator.start(ctx, &duties, r.experiment.FailureDomains)
+	callers := firstCaller(r.experiment, len(r.experiment.Workspaces))
+	r.locator.start(ctx, &duties, callers, r.experiment.FailureDomains)
 	r.start = time.Now()
 	duties.Go(func() { r.report(ctx, progress) })
 	if target.Fleet != nil {
@@ -166,7 +167,7 @@
 	if w.Priority == wire.ExperimentWorkspacePriorityBatch {
 		request.Timeout = _drain
 	}
-	answer := r.client.Complete(r.locator.from(a.FailureDomain, number), request)
+	answer := r.client.Complete(r.locator.from(a.Caller, number), request)
 	s.Status = answer.Status
 	s.Outcome = answer.Outcome
 	s.Code = answer.Code
@@ -185,7 +186,7 @@
 // call calls a plain service through several instances at once, each of them
 // again until it says what became of the call.
 func (r *runner) call(s *Sample, number int) {
-	addresses := r.locator.from(s.Arrival.FailureDomain, number)
+	addresses := r.locator.from(s.Arrival.Caller, number)
 	copies := make([]Sample, s.Arrival.Repeats+1)
 	var wg conc.WaitGroup
 	for i := range copies {
--- a/wire/load.gen.go
+++ b/wire/load.gen.go
@@ -216,6 +216,10 @@
 	// instance.
 	CallRepeats int `json:"CallRepeats"`
 
+	// Callers is how many callers it has, spread over the failure domains; each asks
+	// for itself which instance to use.
+	Callers int `json:"Callers"`
+
 	// CallsPerMinute is the mean rate of its calls of a plain service.
 	CallsPerMinute int `json:"CallsPerMinute"`
 
