Judge refusals by one bucket over what was sent

Change: a refusal is within the rate if one bucket over all that was sent admits the request; how many that bucket refuses, and how many were refused with tokens left, stand beside it. Conclusion: three figures that bound the wrongful refusals from both sides.

--- a/load/measure.go
+++ b/load/measure.go
@@ -39,10 +39,14 @@
 	// account, and ModelMoves those during it.
 	FirstLoads int
 	ModelMoves int
-	// RefusedWithinRate are the requests refused for the rate though they were
-	// within it, RefusedOtherwise those within it refused for other reasons,
-	// and RefusedOverRate those rightly refused for the rate.
+	// RefusedWithinRate are the requests refused for the rate though one bucket
+	// over all that was sent admits them, RefusedOverRate those that it doesn't
+	// admit either, and RefusedOtherwise those refused for other reasons.
+	// OverRate is how many that bucket refuses in all. WithTokensLeft are the
+	// refused ones for which what was admitted had left tokens enough.
 	RefusedWithinRate int
+	OverRate          int
+	WithTokensLeft    int
 	RefusedOtherwise  int
 	RefusedOverRate   int
 	// BeyondRateTokens is the most that any workspace had beyond its rate and
@@ -80,9 +84,10 @@
 	Done     int
 	// Attainment is Attained of Counted; for batch work Done of Counted.
 	Attainment float64
-	// RefusedWithinRate, RefusedOtherwise and RefusedOverRate are as in
-	// Result.
+	// RefusedWithinRate and those after it are as in Result.
 	RefusedWithinRate int
+	OverRate          int
+	WithTokensLeft    int
 	RefusedOtherwise  int
 	RefusedOverRate   int
 	// BeyondRateTokens is the most that it had beyond its rate and burst.
@@ -176,6 +181,8 @@
 	r.WorstAttainment = 1
 	for _, w := range r.Workspaces {
 		r.RefusedWithinRate += w.RefusedWithinRate
+		r.OverRate += w.OverRate
+		r.WithTokensLeft += w.WithTokensLeft
 		r.RefusedOtherwise += w.RefusedOtherwise
 		r.RefusedOverRate += w.RefusedOverRate
 		r.BeyondRateTokens = max(r.BeyondRateTokens, w.BeyondRateTokens)
@@ -211,6 +218,8 @@
 		result.count(s, verdicts[i])
 	}
 	result.BeyondRateTokens = int(b.beyond)
+	result.OverRate = b.overRate
+	result.WithTokensLeft = b.withTokensLeft
 	result.Attainment = ratio(result.Attained, result.Counted)
 	if w.Priority == wire.ExperimentWorkspacePriorityBatch {
 		result.Attainment = ratio(result.Done, result.Counted)
--- a/load/table.go
+++ b/load/table.go
@@ -45,10 +45,10 @@
 	}
 	t.row("worst-served workspace\t%s\t", r.WorstWorkspace)
 	t.row("")
-	t.row("workspace\tpriority\toffered\twithin rate\tin time\tdone\tpart\trefused within rate\tother refusals\trefused over rate\tbeyond rate, tokens\t")
+	t.row("workspace\tpriority\toffered\twithin rate\tin time\tdone\tpart\trefused within rate\tover rate\tideal\ttokens left\tother refusals\tbeyond rate, tokens\t")
 	for _, w := range r.Workspaces {
-		t.row("%s\t%s\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t", w.Name, w.Priority, w.Offered, w.Counted, w.Attained, w.Done,
-			w.Attainment, w.RefusedWithinRate, w.RefusedOtherwise, w.RefusedOverRate, w.BeyondRateTokens)
+		t.row("%s\t%s\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t", w.Name, w.Priority, w.Offered, w.Counted, w.Attained, w.Done,
+			w.Attainment, w.RefusedWithinRate, w.RefusedOverRate, w.OverRate, w.WithTokensLeft, w.RefusedOtherwise, w.BeyondRateTokens)
 	}
 	t.row("")
 	t.row("latency, ms\tcount\tp50\tp95\tp99\tmax\t")
@@ -132,6 +132,8 @@
 		whole("model moves", r.ModelMoves),
 		whole("first loads", r.FirstLoads),
 		whole("refused for the rate though within it", r.RefusedWithinRate),
+		whole("an ideal bucket refuses of the same", r.OverRate),
+		whole("refused with tokens left", r.WithTokensLeft),
 		whole("refused for other reasons", r.RefusedOtherwise),
 		whole("rightly refused for the rate", r.RefusedOverRate),
 		whole("tokens beyond rate and burst", r.BeyondRateTokens),
