Don't blame the key while keys can't be judged

Cause: an instance started in a store outage, or cut off, answered each valid key with 401 "missing, wrong or withdrawn", and each service path with 404 when it had no configuration. Callers take both for final and don't ask elsewhere.

Change: such requests get 503 configuration_unavailable, NotRun, Retry-After 1 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,9 @@
 type Parts struct {
 	// Authenticate finds the caller of a key.
 	Authenticate func(key []byte) (Caller, bool)
+	// KnowsKeys says whether keys can be judged now. While they can't,
+	// Authenticate finds none, and requests with keys are refused as NotRun.
+	KnowsKeys func() bool
 	// IsValid says whether a caller's key is still granted.
 	IsValid func(caller Caller) bool
 	// Find looks up a model or adapter by the name that callers use.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -88,13 +88,25 @@
 	return c.Status(status).JSON(problemBody{Error: p})
 }
 
+// refuseKey refuses a request whose key wasn't found, and doesn't blame the key
+// while keys can't be judged.
 func (g *Gateway) refuseKey(c fiber.Ctx) error {
+	if len(callerKey(c)) > 0 && !g.cfg.Parts.KnowsKeys() {
+		return g.refuseOutOfTouch(c)
+	}
 	p := badRequest("invalid_api_key", "the key is missing, wrong or withdrawn")
 	p.Type = "authentication_error"
 
 	return g.refuse(c, "", fasthttp.StatusUnauthorized, p)
 }
 
+// refuseOutOfTouch refuses a request while the configuration in force may not
+// be the newest.
+func (g *Gateway) refuseOutOfTouch(c fiber.Ctx) error {
+	return g.refuse(c, "", fasthttp.StatusServiceUnavailable,
+		notRun("configuration_unavailable", "the instance can't tell which keys are valid; ask another one", time.Second))
+}
+
 // handleError answers what fiber refuses by itself: large bodies and headers,
 // unknown paths and methods.
 func (g *Gateway) handleError(c fiber.Ctx, err error) error {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -51,6 +51,9 @@
 
 func (g *Gateway) handleService(c fiber.Ctx) error {
 	route, ok := g.cfg.Parts.Route(clone(c.Path()))
+	if !ok && !g.cfg.Parts.KnowsKeys() {
+		return g.refuseOutOfTouch(c)
+	}
 	if !ok {
 		return g.refuse(c, "", fasthttp.StatusNotFound, badRequest("route_not_found", "no such route"))
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -259,6 +259,7 @@
 func (i *Instance) parts() gateway.Parts {
 	return gateway.Parts{
 		Authenticate: i.authenticate,
+		KnowsKeys:    func() bool { return i.follower.Keyed().Allowed },
 		IsValid:      func(caller gateway.Caller) bool { return i.directory.Load().IsValid(caller) },
 		Find: func(caller gateway.Caller, name string) (gateway.Target, gateway.Access) {
 			return i.directory.Load().Find(caller, name)
