Close a stream's connection from any goroutine, and let instances start by peers

Cause: the race detector found that ending a stream whose key was withdrawn and its own end closed one response at the same time. Change: a stream holds its body, whose closing may be called twice and from anywhere; PeerAddresses, the backend servers of the configuration and the metrics reach the parts that ask for them.

--- a/engine/client.go
+++ b/engine/client.go
@@ -38,6 +38,9 @@
 	HeaderOutcome    = "X-Outcome"
 )
 
+// errCanceled closes the connection of a stream that is given up.
+var errCanceled = errors.New("canceled")
+
 // _parsers keep their memory from one stream to the next.
 var _parsers fastjson.ParserPool
 
@@ -136,7 +139,8 @@
 // Stream is an answer that is being generated. Close it.
 type Stream struct {
 	completion Completion
-	resp       *fasthttp.Response
+	status     int
+	body       fasthttp.ReadCloserWithError
 	parser     *fastjson.Parser
 }
 
@@ -169,9 +173,15 @@
 		return nil, refusal("complete", completion.Address, resp)
 	}
 
+	body, ok := resp.BodyStream().(fasthttp.ReadCloserWithError)
+	if !ok {
+		panic("engine: a streamed body that can't be closed")
+	}
+
 	return &Stream{
 		completion: completion,
-		resp:       resp,
+		status:     resp.StatusCode(),
+		body:       body,
 		parser:     _parsers.Get(),
 	}, nil
 }
@@ -180,7 +190,7 @@
 // returns nil only when the answer is complete.
 func (s *Stream) Each(fn func(chunk Chunk) bool) error {
 	ended := false
-	for event, err := range sse.Read(s.resp.BodyStream(), nil) {
+	for event, err := range sse.Read(s.body, nil) {
 		if err != nil {
 			return s.fail(outcomeOfRead(err), err.Error())
 		}
@@ -213,13 +223,13 @@
 // which tells the engine to stop.
 func (s *Stream) Cancel() {
 	// The error is that of a connection which is being given up.
-	_ = s.resp.CloseBodyStream()
+	_ = s.body.CloseWithError(errCanceled)
 }
 
 // Close releases the stream after Each has returned, once. A connection whose
 // answer was not read to its end is closed and not used again.
 func (s *Stream) Close() {
-	_ = s.resp.CloseBodyStream()
+	_ = s.body.CloseWithError(nil)
 	_parsers.Put(s.parser)
 }
 
@@ -254,7 +264,7 @@
 		Op:      "stream",
 		Address: s.completion.Address,
 		Outcome: outcome,
-		Status:  s.resp.StatusCode(),
+		Status:  s.status,
 		Reason:  reason,
 	}
 }
--- a/gateway/badinput_test.go
+++ b/gateway/badinput_test.go
@@ -93,7 +93,8 @@
 		Authenticate: func(key []byte) (gateway.Caller, bool) {
 			return gateway.Caller{Workspace: "w"}, string(key) == _key
 		},
-		IsValid: func(gateway.Caller) bool { return b.valid.Load() },
+		IsValid:   func(gateway.Caller) bool { return b.valid.Load() },
+		KnowsKeys: func() bool { return true },
 		Find: func(_ gateway.Caller, name string) (gateway.Target, gateway.Access) {
 			if name == "foreign" {
 				return gateway.Target{}, gateway.AccessForbidden
--- a/instance/control.go
+++ b/instance/control.go
@@ -27,10 +27,11 @@
 // newMembers makes the view of instances and backend servers.
 func (i *Instance) newMembers() {
 	i.members = &membership.Detector{
-		Self:   i.self,
-		Timer:  i.timer,
-		Random: newRandom(),
-		Log:    i.log,
+		Self:          i.self,
+		Timer:         i.timer,
+		Random:        newRandom(),
+		Log:           i.log,
+		PeerAddresses: i.cfg.PeerAddresses,
 	}
 	i.memberCarrier = membership.Carry(i.members, i.pool, i.platform.Store("Membership"))
 	membership.Register(i.peers, i.members)
@@ -44,6 +45,7 @@
 		FailureDomain: i.cfg.FailureDomain,
 		Timer:         i.timer,
 		Random:        newRandom(),
+		PeerAddresses: i.cfg.PeerAddresses,
 		Peers:         i.members.Peers,
 		Reach:         i.reach,
 		OnSnapshot:    i.apply,
@@ -70,6 +72,7 @@
 		Demand:   i.demand.total,
 		Timer:    i.timer,
 		Log:      i.log,
+		Metrics:  i.registry,
 	}
 	i.orders = &order.Manager{
 		Name:        i.cfg.Name,
@@ -86,6 +89,7 @@
 		Fleet:   i.fleet,
 		Timer:   i.timer,
 		Log:     i.log,
+		Metrics: i.registry,
 	}
 	peer.Register(i.peers, _adapterMethod, func(ask wire.AdapterAsk) (wire.AdapterAnswer, error) {
 		return wire.AdapterAnswer{Accepted: i.orders.RequestAdapter(ask.Server, ask.Adapter)}, nil
@@ -109,6 +113,7 @@
 		servers = append(servers, server)
 	}
 	i.table.SetServers(servers)
+	i.members.KnowServers(servers)
 	i.gateway.CheckKeys()
 }
 
@@ -266,7 +271,7 @@
 		presence[server.Name] = placement.Presence{Live: answers}
 	}
 	for _, m := range i.members.Members() {
-		if _, ok := presence[m.Name]; ok && m.Listed {
+		if _, ok := presence[m.Name]; ok && (m.Listed || m.Leaving) {
 			presence[m.Name] = placement.Presence{
 				Live:    m.Health != wire.FindingHealthFailed,
 				Leaving: m.Leaving,
