Place the models of an engine that answers nobody elsewhere

Cause: presence took each engine that the platform lists for live unless it had failed; but nobody probes engines, so they get suspect and never failed. While the list showed a dead engine, its models weren't placed again.

Change: a listed engine is live for placement while it isn't suspect. A suspicion ends with the engine's next own words.

One refused connection is enough to begin a load elsewhere; a hysteresis wasn't tried.

--- a/instance/control.go
+++ b/instance/control.go
@@ -259,6 +259,8 @@
 
 // presence is this instance's view of the engines. An engine that neither
 // the platform nor a peer has spoken of counts as live while it answers here.
+// A listed one that refuses connections is suspect until it speaks again, and
+// never failed, since nobody probes it: its models are needed elsewhere.
 func (i *Instance) presence() map[string]placement.Presence {
 	presence := map[string]placement.Presence{}
 	for _, server := range i.fleet().Servers {
@@ -268,7 +270,7 @@
 	for _, m := range i.members.Members() {
 		if _, ok := presence[m.Name]; ok && m.Listed {
 			presence[m.Name] = placement.Presence{
-				Live:    m.Health != wire.FindingHealthFailed,
+				Live:    m.Health == wire.FindingHealthAlive,
 				Leaving: m.Leaving,
 			}
 		}
