Know a refused connection to an engine as one

Cause: outcomeOf looked for an error text that begins with "dial"; the texts begin with "engine:". So a refused connection counted as a request that didn't run, which says nothing of the server: the probe of an ejected, dead engine didn't renew its ejection, each request became a probe, and the retry budget ran out. All requests for the model were refused.

Change: the engine's error says Unreachable, and so does gateway.Result. TestCrashingRequest sends the crashing request 20 times to six instances at once, beside as many innocent ones for the same model; at most 2 engines may be lost, and the model must be served afterwards.

--- a/engine/client.go
+++ b/engine/client.go
@@ -97,6 +97,8 @@
 	Outcome Outcome
 	// Status is the HTTP status, or 0 without an answer.
 	Status int
+	// Unreachable says that no connection could be made.
+	Unreachable bool
 	// Reason is for people.
 	Reason string
 }
@@ -116,6 +118,14 @@
 	return OutcomeUnknown
 }
 
+// IsUnreachable reports whether an error of this package says that no
+// connection could be made.
+func IsUnreachable(err error) bool {
+	var e *Error
+
+	return errors.As(err, &e) && e.Unreachable
+}
+
 // Chunk is one chunk of an answer. Raw is valid until the next one.
 type Chunk struct {
 	// Raw is the chunk's JSON.
@@ -159,10 +169,11 @@
 		fasthttp.ReleaseResponse(resp)
 
 		return nil, &Error{
-			Op:      "complete",
-			Address: completion.Address,
-			Outcome: outcomeOfSend(err),
-			Reason:  err.Error(),
+			Op:          "complete",
+			Address:     completion.Address,
+			Outcome:     outcomeOfSend(err),
+			Unreachable: isUnreachable(err),
+			Reason:      err.Error(),
 		}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -261,17 +272,19 @@
 
 // outcomeOfSend tells a request that never left from one that may have run.
 func outcomeOfSend(err error) Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return OutcomeNotRun
-	}
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if isUnreachable(err) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return OutcomeNotRun
 	}
 
 	return outcomeOfRead(err)
 }
 
+func isUnreachable(err error) bool {
+	var op *net.OpError
+
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, fasthttp.ErrDialTimeout)
+}
+
 // outcomeOfRead tells a silent engine from a lost connection.
 func outcomeOfRead(err error) Outcome {
 	var timeout net.Error
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -55,10 +55,11 @@
 		fasthttp.ReleaseResponse(resp)
 
 		return &Error{
-			Op:      op,
-			Address: address,
-			Outcome: outcomeOfSend(err),
-			Reason:  err.Error(),
+			Op:          op,
+			Address:     address,
+			Outcome:     outcomeOfSend(err),
+			Unreachable: isUnreachable(err),
+			Reason:      err.Error(),
 		}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,8 @@
 	// Failure is how the call to the engine failed, and Reason the error.
 	Failure engine.Outcome
 	Reason  string
+	// Unreachable says that no connection to the server could be made.
+	Unreachable bool
 	// Canceled says that the caller's side ended the work.
 	Canceled bool
 	// OutputTokens is the number of tokens that came.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -135,6 +135,7 @@
 		Outcome:      result,
 		Failure:      outcome,
 		Reason:       err.Error(),
+		Unreachable:  engine.IsUnreachable(err),
 		Canceled:     canceled != "",
 		OutputTokens: r.delivered,
 	})
--- a/instance/request.go
+++ b/instance/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"papayastair.dev/papayastair/admission"
@@ -335,7 +334,7 @@
 		return routing.OutcomeOK
 	case result.Canceled:
 		return routing.OutcomeCancelled
-	case result.Failure == engine.OutcomeNotRun && strings.HasPrefix(result.Reason, "dial"):
+	case result.Unreachable:
 		return routing.OutcomeRefused
 	case result.Failure == engine.OutcomeNotRun:
 		return routing.OutcomeNotRun
