--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	s.setStoreFaults(t, f.Store)
 	for _, service := range s.services {
-		send(t, http.MethodPut, "http://"+service.address.CallerAddress+"/faults", encode(t, f.Service))
+		put(t, "http://"+service.address.CallerAddress+"/faults", encode(t, f.Service))
 	}
 	for _, i := range f.CutOff {
 		s.links[i].setCut(true)
@@ -83,7 +83,7 @@
 
 func (s *system) setStoreFaults(t *testing.T, f standin.StoreFaults) {
 	t.Helper()
-	send(t, http.MethodPut, "http://"+s.platform.address.CallerAddress+"/faults", encode(t, f))
+	put(t, "http://"+s.platform.address.CallerAddress+"/faults", encode(t, f))
 }
 
 // restartInstance kills an instance, if it still runs, and starts it at the
--- a/fleet/process_test.go
+++ b/fleet/process_test.go
@@ -141,10 +141,10 @@
 	}
 }
 
-// send sends a body to a stand-in.
-func send(t *testing.T, method, url, body string) {
+// put sends a body to a stand-in.
+func put(t *testing.T, url, body string) {
 	t.Helper()
-	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -154,7 +154,7 @@
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("%s %s: %s", method, url, resp.Status)
+		t.Fatalf("put %s: %s", url, resp.Status)
 	}
 }
 
--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -83,7 +83,7 @@
 		s.engines[server.Name] = p
 		server.Address = p.address.CallerAddress
 		for _, key := range []string{_keyDesk, _keyDesk2, _keyNight, _keyGuests} {
-			send(t, http.MethodPut, "http://"+server.Address+"/secrets", key)
+			put(t, "http://"+server.Address+"/secrets", key)
 		}
 	} else {
 		p := start(t, server.Name, "standin", "service", "--name", server.Name)
@@ -139,7 +139,7 @@
 func (s *system) list(t *testing.T, member wire.Member) {
 	t.Helper()
 	url := fmt.Sprintf("http://%s/objects/Member/%s?version=0", s.platform.address.CallerAddress, member.Name)
-	send(t, http.MethodPut, url, encode(t, member))
+	put(t, url, encode(t, member))
 }
 
 // apply runs the command, and keeps the version that it tells.
