--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"slices"
 	"testing"
--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
