Propose shares only from a view that has the platform's list

Cause: an instance that restarted while it could not read the list knew two of six members, proposed a table of shares of just those, and took the others' shares until the next table, about 7 s later. Ruled out: leaving instances (kept as members before), unknown incarnations (mended before). Change: members go to the ledger only once some instance of the view is listed.

--- a/instance/control.go
+++ b/instance/control.go
@@ -123,6 +123,7 @@
 	members := i.members.Members()
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
 	complete := true
+	listed := false
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
 		// A leaving instance still serves, and needs its part until it ends.
@@ -131,6 +132,7 @@
 		}
 		peers = append(peers, m.Name)
 		complete = complete && m.Incarnation > 0
+		listed = listed || m.Listed
 		quotaMembers = append(quotaMembers, wire.QuotaMember{
 			Instance:    m.Name,
 			Incarnation: m.Incarnation,
@@ -139,8 +141,9 @@
 	}
 	// A listed member that hasn't been heard of yet has no incarnation. A
 	// table of shares with such a member would give its run nothing. It is
-	// soon heard of, or failed.
-	if complete {
+	// soon heard of, or failed. An instance that has not read the list may know
+	// too few members, and its table would take the shares of the others.
+	if complete && listed {
 		i.ledger.SetMembers(quotaMembers)
 	}
 	i.suspects.SetPeers(peers)
