Read the table of shares into fresh memory

Cause: the race detector, with the whole process in one race build: a reading of the table was decoded into a copy whose lists the table in force shares, so a reading could change the members in force without adopting them. Change: decode into an empty table. Conclusion: a fault against safety that no schedule in virtual time showed, because there readings don't overlap.

--- a/quota/change.go
+++ b/quota/change.go
@@ -213,6 +213,9 @@
 		if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
 			return false
 		}
+		// A fresh table: decoding into the old one would write into lists that
+		// the table in force shares.
+		table = wire.QuotaTable{}
 		if err == nil && json.Unmarshal([]byte(object.Value), &table) != nil {
 			return false
 		}
