Share tokens only by a list of members that was read

Cause: an instance started while it didn't reach the platform knew only the peers that had answered it, and then proposed a table of shares with 2 of 6 members.

Change: members go to the ledger after the platform's list was read once.

--- a/instance/control.go
+++ b/instance/control.go
@@ -117,7 +117,7 @@
 func (i *Instance) followMembers(time.Time) {
 	members := i.members.Members()
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
-	complete := true
+	complete := i.members.HasList()
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
 		// A leaving instance still serves, and needs its part until it ends.
@@ -132,9 +132,9 @@
 			Size:        max(m.Size, 1),
 		})
 	}
-	// A listed member that hasn't been heard of yet has no incarnation. A
-	// table of shares with such a member would give its run nothing. It is
-	// soon heard of, or failed.
+	// A table of shares without a member, or with one that hasn't been heard
+	// of yet and so has no incarnation, would give its run nothing. Each listed
+	// one is soon heard of, or failed.
 	if complete {
 		i.ledger.SetMembers(quotaMembers)
 	}
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -90,7 +90,9 @@
 
 // listing is the state of reading the platform's list.
 type listing struct {
-	busy     bool
+	busy bool
+	// read says that the list was read since the start.
+	read     bool
 	failing  bool
 	revision int
 	next     time.Time
@@ -238,6 +240,15 @@
 	return alive, listed
 }
 
+// HasList reports whether the platform's list was read since the start. Until
+// then Members may lack many.
+func (d *Detector) HasList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.list.read
+}
+
 // Members are all members, this instance among them, sorted by name.
 func (d *Detector) Members() []Member {
 	d.mu.Lock()
@@ -505,6 +516,7 @@
 		return
 	}
 	d.list.revision = list.Version
+	d.list.read = true
 	listed := map[string]bool{}
 	for _, object := range list.Objects {
 		listed[object.Name] = true
