--- a/instance/control.go
+++ b/instance/control.go
@@ -122,8 +122,7 @@
 func (i *Instance) followMembers(time.Time) {
 	members := i.members.Members()
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
-	complete := true
-	listed := false
+	complete := i.members.HasList()
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
 		// A leaving instance still serves, and needs its part until it ends.
@@ -132,18 +131,16 @@
 		}
 		peers = append(peers, m.Name)
 		complete = complete && m.Incarnation > 0
-		listed = listed || m.Listed
 		quotaMembers = append(quotaMembers, wire.QuotaMember{
 			Instance:    m.Name,
 			Incarnation: m.Incarnation,
 			Size:        max(m.Size, 1),
 		})
 	}
-	// A listed member that hasn't been heard of yet has no incarnation. A
-	// table of shares with such a member would give its run nothing. It is
-	// soon heard of, or failed. An instance that has not read the list may know
-	// too few members, and its table would take the shares of the others.
-	if complete && listed {
+	// A table of shares without a member, or with one that hasn't been heard
+	// of yet and so has no incarnation, would give its run nothing. Each listed
+	// one is soon heard of, or failed.
+	if complete {
 		i.ledger.SetMembers(quotaMembers)
 	}
 	i.suspects.SetPeers(peers)
