--- a/engine/client.go
+++ b/engine/client.go
@@ -38,6 +38,9 @@
 	HeaderOutcome    = "X-Outcome"
 )
 
+// errCanceled closes the connection of a stream that is given up.
+var errCanceled = errors.New("canceled")
+
 // _parsers keep their memory from one stream to the next.
 var _parsers fastjson.ParserPool
 
@@ -97,6 +100,8 @@
 	Outcome Outcome
 	// Status is the HTTP status, or 0 without an answer.
 	Status int
+	// Unreachable says that no connection could be made.
+	Unreachable bool
 	// Reason is for people.
 	Reason string
 }
@@ -116,6 +121,14 @@
 	return OutcomeUnknown
 }
 
+// IsUnreachable reports whether an error of this package says that no
+// connection could be made.
+func IsUnreachable(err error) bool {
+	var e *Error
+
+	return errors.As(err, &e) && e.Unreachable
+}
+
 // Chunk is one chunk of an answer. Raw is valid until the next one.
 type Chunk struct {
 	// Raw is the chunk's JSON.
@@ -136,7 +149,8 @@
 // Stream is an answer that is being generated. Close it.
 type Stream struct {
 	completion Completion
-	resp       *fasthttp.Response
+	status     int
+	body       fasthttp.ReadCloserWithError
 	parser     *fastjson.Parser
 }
 
@@ -159,19 +173,26 @@
 		fasthttp.ReleaseResponse(resp)
 
 		return nil, &Error{
-			Op:      "complete",
-			Address: completion.Address,
-			Outcome: outcomeOfSend(err),
-			Reason:  err.Error(),
+			Op:          "complete",
+			Address:     completion.Address,
+			Outcome:     outcomeOfSend(err),
+			Unreachable: isUnreachable(err),
+			Reason:      err.Error(),
 		}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, refusal("complete", completion.Address, resp)
 	}
 
+	body, ok := resp.BodyStream().(fasthttp.ReadCloserWithError)
+	if !ok {
+		panic("engine: a streamed body that can't be closed")
+	}
+
 	return &Stream{
 		completion: completion,
-		resp:       resp,
+		status:     resp.StatusCode(),
+		body:       body,
 		parser:     _parsers.Get(),
 	}, nil
 }
@@ -180,7 +201,7 @@
 // returns nil only when the answer is complete.
 func (s *Stream) Each(fn func(chunk Chunk) bool) error {
 	ended := false
-	for event, err := range sse.Read(s.resp.BodyStream(), nil) {
+	for event, err := range sse.Read(s.body, nil) {
 		if err != nil {
 			return s.fail(outcomeOfRead(err), err.Error())
 		}
@@ -213,13 +234,13 @@
 // which tells the engine to stop.
 func (s *Stream) Cancel() {
 	// The error is that of a connection which is being given up.
-	_ = s.resp.CloseBodyStream()
+	_ = s.body.CloseWithError(errCanceled)
 }
 
 // Close releases the stream after Each has returned, once. A connection whose
 // answer was not read to its end is closed and not used again.
 func (s *Stream) Close() {
-	_ = s.resp.CloseBodyStream()
+	_ = s.body.CloseWithError(nil)
 	_parsers.Put(s.parser)
 }
 
@@ -254,24 +275,26 @@
 		Op:      "stream",
 		Address: s.completion.Address,
 		Outcome: outcome,
-		Status:  s.resp.StatusCode(),
+		Status:  s.status,
 		Reason:  reason,
 	}
 }
 
 // outcomeOfSend tells a request that never left from one that may have run.
 func outcomeOfSend(err error) Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return OutcomeNotRun
-	}
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if isUnreachable(err) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return OutcomeNotRun
 	}
 
 	return outcomeOfRead(err)
 }
 
+func isUnreachable(err error) bool {
+	var op *net.OpError
+
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, fasthttp.ErrDialTimeout)
+}
+
 // outcomeOfRead tells a silent engine from a lost connection.
 func outcomeOfRead(err error) Outcome {
 	var timeout net.Error
--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -83,7 +82,7 @@
 		s.engines[server.Name] = p
 		server.Address = p.address.CallerAddress
 		for _, key := range []string{_keyDesk, _keyDesk2, _keyNight, _keyGuests} {
-			send(t, http.MethodPut, "http://"+server.Address+"/secrets", key)
+			put(t, "http://"+server.Address+"/secrets", key)
 		}
 	} else {
 		p := start(t, server.Name, "standin", "service", "--name", server.Name)
@@ -139,13 +138,14 @@
 func (s *system) list(t *testing.T, member wire.Member) {
 	t.Helper()
 	url := fmt.Sprintf("http://%s/objects/Member/%s?version=0", s.platform.address.CallerAddress, member.Name)
-	send(t, http.MethodPut, url, encode(t, member))
+	put(t, url, encode(t, member))
 }
 
 // apply runs the command, and keeps the version that it tells.
 func (s *system) apply(t *testing.T, subtrees ...wire.Subtree) {
 	t.Helper()
-	args := []string{"--output", "json", "apply", "--platform", s.platform.address.CallerAddress}
+	args := make([]string, 0, 5+len(subtrees))
+	args = append(args, "--output", "json", "apply", "--platform", s.platform.address.CallerAddress)
 	for _, subtree := range subtrees {
 		args = append(args, writeJSON(t, "subtree.json", json.RawMessage(settings.Encode(subtree))))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,8 @@
 	// Failure is how the call to the engine failed, and Reason the error.
 	Failure engine.Outcome
 	Reason  string
+	// Unreachable says that no connection to the server could be made.
+	Unreachable bool
 	// Canceled says that the caller's side ended the work.
 	Canceled bool
 	// OutputTokens is the number of tokens that came.
@@ -125,6 +127,9 @@
 type Parts struct {
 	// Authenticate finds the caller of a key.
 	Authenticate func(key []byte) (Caller, bool)
+	// KnowsKeys says whether keys can be judged now. While they can't,
+	// Authenticate finds none, and requests with keys are refused as NotRun.
+	KnowsKeys func() bool
 	// IsValid says whether a caller's key is still granted.
 	IsValid func(caller Caller) bool
 	// Find looks up a model or adapter by the name that callers use.
--- a/instance/control.go
+++ b/instance/control.go
@@ -27,10 +27,11 @@
 // newMembers makes the view of instances and backend servers.
 func (i *Instance) newMembers() {
 	i.members = &membership.Detector{
-		Self:   i.self,
-		Timer:  i.timer,
-		Random: newRandom(),
-		Log:    i.log,
+		Self:          i.self,
+		Timer:         i.timer,
+		Random:        newRandom(),
+		Log:           i.log,
+		PeerAddresses: i.cfg.PeerAddresses,
 	}
 	i.memberCarrier = membership.Carry(i.members, i.pool, i.platform.Store("Membership"))
 	membership.Register(i.peers, i.members)
@@ -44,6 +45,7 @@
 		FailureDomain: i.cfg.FailureDomain,
 		Timer:         i.timer,
 		Random:        newRandom(),
+		PeerAddresses: i.cfg.PeerAddresses,
 		Peers:         i.members.Peers,
 		Reach:         i.reach,
 		OnSnapshot:    i.apply,
@@ -70,6 +72,7 @@
 		Demand:   i.demand.total,
 		Timer:    i.timer,
 		Log:      i.log,
+		Metrics:  i.registry,
 	}
 	i.orders = &order.Manager{
 		Name:        i.cfg.Name,
@@ -86,6 +89,7 @@
 		Fleet:   i.fleet,
 		Timer:   i.timer,
 		Log:     i.log,
+		Metrics: i.registry,
 	}
 	peer.Register(i.peers, _adapterMethod, func(ask wire.AdapterAsk) (wire.AdapterAnswer, error) {
 		return wire.AdapterAnswer{Accepted: i.orders.RequestAdapter(ask.Server, ask.Adapter)}, nil
@@ -109,6 +113,7 @@
 		servers = append(servers, server)
 	}
 	i.table.SetServers(servers)
+	i.members.KnowServers(servers)
 	i.gateway.CheckKeys()
 }
 
@@ -117,6 +122,7 @@
 func (i *Instance) followMembers(time.Time) {
 	members := i.members.Members()
 	quotaMembers := make([]wire.QuotaMember, 0, len(members))
+	complete := true
 	peers := make([]string, 0, len(members))
 	for _, m := range members {
 		// A leaving instance still serves, and needs its part until it ends.
@@ -124,13 +130,19 @@
 			continue
 		}
 		peers = append(peers, m.Name)
+		complete = complete && m.Incarnation > 0
 		quotaMembers = append(quotaMembers, wire.QuotaMember{
 			Instance:    m.Name,
 			Incarnation: m.Incarnation,
 			Size:        max(m.Size, 1),
 		})
 	}
-	i.ledger.SetMembers(quotaMembers)
+	// A listed member that hasn't been heard of yet has no incarnation. A
+	// table of shares with such a member would give its run nothing. It is
+	// soon heard of, or failed.
+	if complete {
+		i.ledger.SetMembers(quotaMembers)
+	}
 	i.suspects.SetPeers(peers)
 	i.queue.SetInstances(len(peers))
 	for server, share := range i.queue.Shares(i.table.Serving()) {
@@ -152,6 +164,7 @@
 	i.answered.Store(server.Name, true)
 	i.members.ReportServer(server.Name, report.Leaving, report.AtUnixMilliseconds)
 	i.table.Observe(report)
+	i.queue.Wake(i.table.Models(server.Name))
 }
 
 // readReports reads the reports of all engines once.
@@ -251,6 +264,8 @@
 
 // presence is this instance's view of the engines. An engine that neither
 // the platform nor a peer has spoken of counts as live while it answers here.
+// A listed one that refuses connections is suspect until it speaks again, and
+// never failed, since nobody probes it: its models are needed elsewhere.
 func (i *Instance) presence() map[string]placement.Presence {
 	presence := map[string]placement.Presence{}
 	for _, server := range i.fleet().Servers {
@@ -258,9 +273,9 @@
 		presence[server.Name] = placement.Presence{Live: answers}
 	}
 	for _, m := range i.members.Members() {
-		if _, ok := presence[m.Name]; ok && m.Listed {
+		if _, ok := presence[m.Name]; ok && (m.Listed || m.Leaving) {
 			presence[m.Name] = placement.Presence{
-				Live:    m.Health != wire.FindingHealthFailed,
+				Live:    m.Health == wire.FindingHealthAlive,
 				Leaving: m.Leaving,
 			}
 		}
