Say which figures of the load tool are not known

Cause: against a running system the books of its backend servers can't be read, and the table showed zeros, and the experiment's faults as if they had happened. Figures: a trial of load.Run with addresses only on a small fleet shows five measures as not known, where zeros stood; 18 of 18 completions done. Conclusion: a zero in the table is one that was seen.

--- a/cmd/papayastair/load.go
+++ b/cmd/papayastair/load.go
@@ -38,7 +38,8 @@
 	if c.Seed != nil {
 		e.Seed = *c.Seed
 	}
-	if c.NoFaults {
+	// A running system is not ours to break.
+	if c.NoFaults || len(c.Instances) > 0 {
 		e.Faults = nil
 	}
 	result, err := c.measure(e)
--- a/load/account.go
+++ b/load/account.go
@@ -142,7 +142,6 @@
 
 // compareBooks holds what was seen against the product's counts.
 func compareBooks(samples []Sample, after books, product productCounts) []Comparison {
-	const unknown = -1
 	done, refused := 0, 0
 	for i := range samples {
 		s := &samples[i]
@@ -180,10 +179,10 @@
 	for i := range comparisons {
 		c := &comparisons[i]
 		if !product.known {
-			c.Product = unknown
+			c.Product = _unknown
 		}
 		if !after.known && c.SeenBy != "callers" {
-			c.Seen = unknown
+			c.Seen = _unknown
 		}
 	}
 
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	_subtreePath          = "/"
-	_version              = "v1"
-	_routeTimeoutMillis   = 10_000
-	_placeholderPort      = 20_000
-	_microsecondsASecond  = 1_000_000
-	_keyPrefix            = "load-key-"
-	_serviceMaxConcurrent = 1000
+	_subtreePath            = "/"
+	_version                = "v1"
+	_routeTimeoutMillis     = 10_000
+	_placeholderPort        = 20_000
+	_microsecondsASecond    = 1_000_000
+	_keyPrefix              = "load-key-"
+	_serviceTokensPerSecond = 1000
 )
 
 // ReadExperiment reads an experiment from a JSON file.
@@ -101,7 +101,7 @@
 		server.Kind = wire.BackendServerKindService
 		server.Service = service.Name
 		server.Slots = service.Slots
-		server.TokensPerSecond = _serviceMaxConcurrent
+		server.TokensPerSecond = _serviceTokensPerSecond
 		s.BackendServers = append(s.BackendServers, server)
 	}
 }
--- a/load/measure.go
+++ b/load/measure.go
@@ -14,9 +14,12 @@
 const (
 	_highestLatency = 10 * time.Minute
 	_latencyDigits  = 3
+	// _unknown is a figure of books that can't be read.
+	_unknown = -1
 )
 
-// Result is what a run measured. Times are in milliseconds.
+// Result is what a run measured. Times are in milliseconds; -1 is a figure
+// that is not known, because the stand-ins' books can't be read.
 type Result struct {
 	// Experiment, Seed and Seconds say what was run.
 	Experiment string
@@ -157,6 +160,10 @@
 		Comparisons:        compareBooks(samples, after, product),
 		Faults:             e.Faults,
 	}
+	if !after.known {
+		result.FirstLoads, result.ModelMoves = _unknown, _unknown
+		result.RunsAboveOne, result.Leaks, result.OvercommittedBytes = _unknown, _unknown, _unknown
+	}
 	verdicts := make([]verdict, len(samples))
 	for i := range e.Workspaces {
 		result.Workspaces = append(result.Workspaces, measureWorkspace(e, i, samples, verdicts))
--- a/load/run.go
+++ b/load/run.go
@@ -28,8 +28,8 @@
 	_callAttempts  = 4
 	_callPause     = 500 * time.Millisecond
 	_callBody      = `{"Document":"load"}`
-	// _drain is the longest time after the last arrival that answers may take.
-	_drain = 30 * time.Second
+	// _batchTimeout is how long the first token of batch work may take.
+	_batchTimeout = 30 * time.Second
 )
 
 // Target is the system that requests go to.
@@ -165,7 +165,7 @@
 		Priority:  string(w.Priority),
 	}
 	if w.Priority == wire.ExperimentWorkspacePriorityBatch {
-		request.Timeout = _drain
+		request.Timeout = _batchTimeout
 	}
 	answer := r.client.Complete(r.locator.from(a.Caller, number), request)
 	s.Status = answer.Status
--- a/load/table.go
+++ b/load/table.go
@@ -63,7 +63,7 @@
 	t.row("")
 	t.row("held against the log\tseen by\tseen\tlog\t")
 	for _, c := range r.Comparisons {
-		t.row("%s\t%s\t%d\t%d\t", c.Name, c.SeenBy, c.Seen, c.Product)
+		t.row("%s\t%s\t%s\t%s\t", c.Name, c.SeenBy, countText(c.Seen), countText(c.Product))
 	}
 	t.end()
 
@@ -99,6 +99,9 @@
 }
 
 func (m measured) text() string {
+	if m.value == _unknown {
+		return "not known"
+	}
 	if m.isWhole {
 		return fmt.Sprintf("%.0f", m.value)
 	}
@@ -143,6 +146,13 @@
 	}
 }
 
+func countText(n int) string {
+	return measured{
+		value:   float64(n),
+		isWhole: true,
+	}.text()
+}
+
 func ratioText(a, b float64) string {
 	if a == b {
 		return "1.00"
