Let load and stand-ins use what stands already

Cause: duplicates showed the choice by rank, the spread of lengths and the waiting sleep twice each. Change: experiment.Rank, experiment.Spread and platform.Sleep serve both. Conclusion: one place each.

--- a/experiment/shape.go
+++ b/experiment/shape.go
@@ -91,9 +91,9 @@
 		At:           at,
 		Workspace:    workspace,
 		Instance:     random.IntN(shape.Instances),
-		Model:        w.Models[rank(random, len(w.Models))],
-		InputTokens:  w.PrefixTokens + spread(random, w.InputTokens-w.PrefixTokens),
-		OutputTokens: spread(random, w.OutputTokens),
+		Model:        w.Models[Rank(random, len(w.Models))],
+		InputTokens:  w.PrefixTokens + Spread(random, w.InputTokens-w.PrefixTokens),
+		OutputTokens: Spread(random, w.OutputTokens),
 	}
 	if len(w.Entry) > 0 {
 		a.Instance = w.Entry[random.IntN(len(w.Entry))]
@@ -105,7 +105,7 @@
 	if w.Prefixes > 0 {
 		shared = w.PrefixTokens / _blockTokens
 	}
-	prefix := uint64(rank(random, max(w.Prefixes, 1)))
+	prefix := uint64(Rank(random, max(w.Prefixes, 1)))
 	own := random.Uint64()
 	for block := range a.InputTokens / _blockTokens {
 		seed := uint64(workspace)<<40 | prefix<<20
@@ -118,8 +118,9 @@
 	return a
 }
 
-// rank picks an index with a chance of the inverse of its rank.
-func rank(random *rand.Rand, n int) int {
+// Rank picks an index below n with a chance of the inverse of its rank, the
+// first most often.
+func Rank(random *rand.Rand, n int) int {
 	total := 0.0
 	for i := range n {
 		total += 1 / float64(i+1)
@@ -135,8 +136,9 @@
 	return n - 1
 }
 
-// spread is a length with this mean, half of it fixed and half exponential.
-func spread(random *rand.Rand, mean int) int {
+// Spread is a length with this mean, half of it fixed and half exponential,
+// at least 1.
+func Spread(random *rand.Rand, mean int) int {
 	return max(1, int(float64(mean)*(0.5+0.5*random.ExpFloat64())))
 }
 
--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"papayastair.dev/papayastair/experiment"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -66,9 +67,9 @@
 			At:           at,
 			Workspace:    workspace,
 			Caller:       firstCaller(e, workspace) + random.IntN(w.Callers),
-			Model:        w.Models[rank(random, len(w.Models))],
-			InputTokens:  w.PrefixTokens + spread(random, w.InputTokens-w.PrefixTokens),
-			OutputTokens: spread(random, w.OutputTokens),
+			Model:        w.Models[experiment.Rank(random, len(w.Models))],
+			InputTokens:  w.PrefixTokens + experiment.Spread(random, w.InputTokens-w.PrefixTokens),
+			OutputTokens: experiment.Spread(random, w.OutputTokens),
 		}
 		if adapters := adaptersOf(e, a.Model); random.IntN(100) < w.AdapterPercent && adapters > 0 {
 			a.Model = adapterName(a.Model, random.IntN(adapters))
@@ -184,7 +185,7 @@
 func prompt(w *wire.ExperimentWorkspace, tokens int, random *rand.Rand) string {
 	var text strings.Builder
 	if w.Prefixes > 0 {
-		shared := rand.New(rand.NewPCG(uint64(rank(random, w.Prefixes)), uint64(len(w.Name))))
+		shared := rand.New(rand.NewPCG(uint64(experiment.Rank(random, w.Prefixes)), uint64(len(w.Name))))
 		writeWords(&text, w.PrefixTokens*_bytesPerToken, shared)
 	}
 	writeWords(&text, tokens*_bytesPerToken, random)
@@ -199,28 +200,6 @@
 	}
 }
 
-// rank picks an index with a chance of the inverse of its rank.
-func rank(random *rand.Rand, n int) int {
-	total := 0.0
-	for i := range n {
-		total += 1 / float64(i+1)
-	}
-	x := random.Float64() * total
-	for i := range n {
-		x -= 1 / float64(i+1)
-		if x < 0 {
-			return i
-		}
-	}
-
-	return n - 1
-}
-
-// spread is a length with this mean, half of it fixed and half exponential.
-func spread(random *rand.Rand, mean int) int {
-	return max(1, int(float64(mean)*(0.5+0.5*random.ExpFloat64())))
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -104,15 +103,3 @@
 	r.SetContentType("application/json")
 	r.SetBody(body)
 }
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
--- a/standin/store.go
+++ b/standin/store.go
@@ -69,7 +69,7 @@
 		objects: map[objectKey]wire.Object{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
-		sleep:   sleep,
+		sleep:   platform.Sleep,
 	}
 }
 
