Settle prompts by the engine's count, and free adapters' memory sooner

Cause: docs/load.md found that refusals within the rate came mostly from the prompt's estimate (a third of the bytes), which settlement never corrected; that first uses of adapters waited up to a minute for an idle one's memory; and that a caller took the end of an instance for the end of its answer. Change: settlement takes the prompt's tokens from the engine's usage; an adapter is idle after 15 s instead of 60, and one in use is named to the giver of orders each 5 s; the caller's client resumes when its instance closes.

--- a/caller/client.go
+++ b/caller/client.go
@@ -21,6 +21,7 @@
 	_streamIdle  = 60 * time.Second
 	_streamEnd   = "[DONE]"
 	_codeLeaving = "leaving"
+	_codeClosing = "instance_closes"
 )
 
 // Client sends requests. Use New. It is safe for concurrent use.
@@ -149,6 +150,10 @@
 
 		return !left
 	})
+	if answer.Code == _codeClosing {
+		// What came stays; the rest may come from the next instance.
+		answer.Outcome = ""
+	}
 	if err != "" && !left {
 		answer.Failure = err
 		resp.SetConnectionClose()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -251,7 +251,7 @@
 func (g *Gateway) Close() {
 	g.sweep.Stop()
 	g.draining.Store(true)
-	g.cancelOpen(func(*relay) bool { return true }, "instance closes")
+	g.cancelOpen(func(*relay) bool { return true }, "instance_closes")
 	ctx, cancel := context.WithTimeout(context.Background(), _shutdownGrace)
 	defer cancel()
 	_ = g.app.ShutdownWithContext(ctx)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -293,13 +293,23 @@
 	r.slot.Done(result)
 }
 
+// inputTokens is the length of the prompt by the engine's count, or the
+// estimate that was reserved where the engine hasn't told it.
+func (r *relay) inputTokens() int {
+	if r.promptTokens > 0 {
+		return r.promptTokens
+	}
+
+	return r.req.work.InputTokens
+}
+
 // finish settles the account of the request and forgets it.
 func (r *relay) finish() {
 	g := r.gateway
 	g.unregister(r)
 	used := 0
 	if r.outcome != OutcomeNotRun {
-		used = r.req.work.InputTokens + r.delivered - r.req.resume
+		used = r.inputTokens() + r.delivered - r.req.resume
 	}
 	g.cfg.Parts.Settle(r.req.work, used)
 	g.cfg.Log.Write(event.RequestDone,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -77,6 +77,8 @@
 
 	ledger   *quota.Ledger
 	reserved sync.Map
+	// kept are the adapters in use, with the time of the last word of it.
+	kept     sync.Map
 	table    *routing.Table
 	suspects *routing.Suspects
 	queue    *admission.Queue
--- a/instance/request.go
+++ b/instance/request.go
@@ -23,6 +23,8 @@
 	_suspectTimeout    = 100 * time.Millisecond
 	_demandReportEvery = time.Second
 	_adapterPoll       = 20 * time.Millisecond
+	// _adapterKeep is the time between words that an adapter is in use.
+	_adapterKeep = 5 * time.Second
 	// _adapterAskEvery is the number of polls between asks.
 	_adapterAskEvery = 50
 	_blockTokens     = 64
@@ -242,8 +244,12 @@
 
 		return gateway.Slot{}, refusal
 	}
-	if p.decision.LoadAdapter {
+	switch {
+	case p.decision.LoadAdapter:
 		i.awaitAdapter(ctx, p.decision.Server, work.Target.Adapter)
+	case work.Target.Adapter != "":
+		i.keepAdapter(p.decision.Server, work.Target.Adapter)
+	default:
 	}
 
 	return i.slot(p, run), nil
@@ -367,6 +373,19 @@
 	}
 }
 
+// keepAdapter tells whoever gives orders to a backend server, once in a while,
+// that an adapter is in use there, so that it doesn't make room for another.
+func (i *Instance) keepAdapter(server, adapter string) {
+	now := i.timer.Now()
+	key := server + " " + adapter
+	value, _ := i.kept.Load(key)
+	if last, ok := value.(time.Time); ok && now.Sub(last) < _adapterKeep {
+		return
+	}
+	i.kept.Store(key, now)
+	i.askAdapter(server, adapter)
+}
+
 func servesAdapter(report wire.LoadReport, adapter string) bool {
 	return slices.ContainsFunc(report.Residents, func(r wire.Resident) bool {
 		return r.Adapter == adapter && r.State == wire.ResidentStateServing
--- a/order/adapter.go
+++ b/order/adapter.go
@@ -11,7 +11,7 @@
 
 // _adapterIdle is how long an adapter must not have been asked for until it
 // may make room.
-const _adapterIdle = time.Minute
+const _adapterIdle = 15 * time.Second
 
 // adapterOrders orders the adapters that were asked for beside serving copies
 // of their models, and unloads of idle ones where they lack room.
--- a/order/manager.go
+++ b/order/manager.go
@@ -203,7 +203,7 @@
 
 // RequestAdapter asks for an adapter to be loaded beside its model on a
 // backend server, and marks it as used; call it when no server has the
-// adapter, and each half minute while it is in use. It reports false when this instance
+// adapter, and each few seconds while it is in use. It reports false when this instance
 // doesn't hold the server's lease; ask the instance that
 // placement.Preferred names for the server.
 func (m *Manager) RequestAdapter(server, adapter string) bool {
