Refuse an open route that may not run twice

Cause: callers without a key share one workspace, so one of them could get another's saved answer by its idempotency key. Figures: TestResolveReportsAllProblems has the line. Conclusion: found by reading, closed in the settings.

--- a/settings/resolve.go
+++ b/settings/resolve.go
@@ -296,6 +296,11 @@
 	if route.Open && len(route.Workspaces) > 0 {
 		r.report(subtree, path+"/Workspaces", "an open route can't be kept to workspaces")
 	}
+	if route.Open && route.NonIdempotent {
+		// Records of attempts belong to a workspace; callers without a key have
+		// none, and would get each other's saved answers.
+		r.report(subtree, path+"/NonIdempotent", "an open route must be idempotent")
+	}
 	for i, w := range route.Workspaces {
 		r.refer(subtree, path+at("Workspaces", i), _kindWorkspace, w)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -162,7 +162,7 @@
 		},
 		{
 			name:  "references",
-			other: `{"Path": "/brazos", "Workspaces": [{"Name": "permits", "Models": ["wording", "none"]}], "Keys": [{"Name": "b", "Workspace": "desk", "Hash": "` + strings.Replace(_hash, "aa", "bb", 1) + `"}], "Routes": [{"Path": "/services/file", "Service": "file", "Open": true, "Workspaces": ["permits"]}], "Placements": [{"Model": "wording", "BackendServers": ["s1"]}]}`,
+			other: `{"Path": "/brazos", "Workspaces": [{"Name": "permits", "Models": ["wording", "none"]}], "Keys": [{"Name": "b", "Workspace": "desk", "Hash": "` + strings.Replace(_hash, "aa", "bb", 1) + `"}], "Routes": [{"Path": "/services/file", "Service": "file", "Open": true, "NonIdempotent": true, "Workspaces": ["permits"]}], "Placements": [{"Model": "wording", "BackendServers": ["s1"]}]}`,
 			want: []string{
 				`/brazos: /Workspaces/0/Models/0: model or adapter "wording" belongs to /kandy/prints, which is not above /brazos`,
 				`/brazos: /Workspaces/0/Models/1: there is no model or adapter "none"`,
@@ -170,6 +170,7 @@
 				`/brazos: /Placements/0/Model: model or adapter "wording" belongs to /kandy/prints, which is not above /brazos`,
 				`/brazos: /Placements/0/BackendServers/0: backend server "s1" is no engine`,
 				`/brazos: /Routes/0/Workspaces: an open route can't be kept to workspaces`,
+				`/brazos: /Routes/0/NonIdempotent: an open route must be idempotent`,
 				`/brazos: /Routes/0/Service: no backend server of service "file" is declared here or above`,
 			},
 		},
