Count requests on the operators' address

Cause: the gateway had a registry and wrote nothing into it. Conclusion: operators see rates and times without the log.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -219,6 +219,8 @@
 	g.app.Get("/v1/locate", g.handleLocate)
 	g.app.All("/services/*", g.handleService)
 	g.sweep = cfg.Timer.Every(_sweepPeriod, g.sweepOpen)
+	// A second registration means that the registry is shared, by a test.
+	_ = cfg.Registry.Register("Gateway.Running", metrics.NewFunctionalGauge(g.running.Load))
 
 	return g, nil
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -70,6 +71,7 @@
 // refuse answers with a problem.
 func (g *Gateway) refuse(c fiber.Ctx, requestID string, status int, p problem) error {
 	p.RequestID = requestID
+	metrics.GetOrRegisterCounter("Gateway.Refused."+p.Code, g.cfg.Registry).Inc(1)
 	g.cfg.Log.Write(event.RequestRefused,
 		zap.String("RequestID", requestID),
 		zap.Int("Status", status),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/engine"
@@ -202,6 +203,7 @@
 		}
 		if r.delivered == r.req.resume {
 			r.slot.First()
+			metrics.GetOrRegisterTimer("Gateway.FirstToken", r.gateway.cfg.Registry).Update(r.gateway.cfg.Timer.Now().Sub(r.started))
 		}
 		r.delivered++
 		if chunk.FinishReason != "" {
@@ -312,6 +314,8 @@
 		used = r.inputTokens() + r.delivered - r.req.resume
 	}
 	g.cfg.Parts.Settle(r.req.work, used)
+	metrics.GetOrRegisterCounter("Gateway.Completions."+string(r.outcome), g.cfg.Registry).Inc(1)
+	metrics.GetOrRegisterCounter("Gateway.Tokens", g.cfg.Registry).Inc(int64(r.delivered - r.req.resume))
 	g.cfg.Log.Write(event.RequestDone,
 		zap.String("ID", r.req.work.ID),
 		zap.String("RequestID", r.req.work.RequestID),
