Never deliver a chunk that leaves tokens out, and resume past the deadline

Cause: reading the relay as a newcomer: a chunk after a gap was delivered; a stream that lost its engine after its deadline, which is that of its beginning, found no other engine; and crossed answers had no test. Change: a gap ends the work on that engine; the rest of an answer gets a new deadline; an engine that goes wrong in the middle is a test.

--- a/gateway/badinput_test.go
+++ b/gateway/badinput_test.go
@@ -32,6 +32,7 @@
 type bench struct {
 	gateway *gateway.Gateway
 	engine  *standin.Engine
+	address string
 	held    atomic.Int64
 	valid   atomic.Bool
 }
@@ -66,7 +67,10 @@
 		MemoryBytes: 1,
 	}, time.Now().Add(-time.Hour))
 	e.Account().Forbid(_key)
-	b := &bench{engine: e}
+	b := &bench{
+		engine:  e,
+		address: e.Address(),
+	}
 	b.valid.Store(true)
 	clock := timer.New()
 	t.Cleanup(clock.Close)
@@ -114,7 +118,7 @@
 
 			return gateway.Slot{
 				Server:  "engine",
-				Address: b.engine.Address(),
+				Address: b.address,
 				First:   func() {},
 				Done:    func(gateway.Result) { b.held.Add(-1) },
 			}, nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -159,6 +159,9 @@
 	for {
 		gone := false
 		err := r.stream.Each(func(chunk engine.Chunk) bool {
+			if r.skips(chunk) {
+				return false
+			}
 			ok := r.accept(chunk, deliver)
 			gone = !ok
 
@@ -183,6 +186,8 @@
 		if p := r.failed(err); p != nil {
 			return p
 		}
+		// The deadline was that of the beginning; the rest gets a new one.
+		r.req.work.Deadline = r.gateway.cfg.Timer.Now().Add(defaultTimeout(r.req.work.Priority))
 		ctx, cancel := context.WithDeadline(context.Background(), r.req.work.Deadline)
 		p := r.start(ctx)
 		cancel()
@@ -192,6 +197,11 @@
 	}
 }
 
+// skips says that a chunk leaves tokens of the answer out.
+func (r *relay) skips(chunk engine.Chunk) bool {
+	return chunk.FinishReason == "" && chunk.Text != "" && chunk.Tokens > r.delivered+1
+}
+
 // accept hands over a chunk that continues the answer.
 func (r *relay) accept(chunk engine.Chunk, deliver func(d delivery) bool) bool {
 	if chunk.CompletionTokens > 0 {
