Check the key once more after a request is registered

Cause: reading the change once more: a key withdrawn between the look-up and the registration of a request was seen by neither, so its stream ran to its end. Change: the key is checked again once CheckKeys can find the request. Conclusion: whichever comes first, the configuration or the request, one of the two checks sees it.

--- a/gateway/badinput_test.go
+++ b/gateway/badinput_test.go
@@ -34,7 +34,10 @@
 	engine  *standin.Engine
 	address string
 	held    atomic.Int64
-	valid   atomic.Bool
+	// onReserve is called while a request has its key checked and isn't
+	// registered yet.
+	onReserve func()
+	valid     atomic.Bool
 }
 
 func newBench(t *testing.T, step time.Duration) *bench {
@@ -111,8 +114,14 @@
 		},
 		Models:   func(gateway.Caller) []string { return []string{"model"} },
 		Priority: func(gateway.Caller, wire.Priority) wire.Priority { return wire.PriorityLive },
-		Reserve:  func(context.Context, gateway.Work) *gateway.Refusal { return nil },
-		Settle:   func(gateway.Work, int) {},
+		Reserve: func(context.Context, gateway.Work) *gateway.Refusal {
+			if b.onReserve != nil {
+				b.onReserve()
+			}
+
+			return nil
+		},
+		Settle: func(gateway.Work, int) {},
 		Acquire: func(context.Context, gateway.Work) (gateway.Slot, *gateway.Refusal) {
 			b.held.Add(1)
 
@@ -319,3 +328,20 @@
 	}
 	b.waitFree()
 }
+
+// TestKeyWithdrawnBeforeRegistration withdraws a key between the look-up and
+// the registration of a request, when CheckKeys can't find the request.
+func TestKeyWithdrawnBeforeRegistration(t *testing.T) {
+	b := newBench(t, time.Millisecond)
+	b.onReserve = func() {
+		b.valid.Store(false)
+		b.gateway.CheckKeys()
+	}
+	status, body := b.post(t, _key, "", `{"model":"model","max_tokens":2}`)
+	if status != http.StatusUnauthorized || !strings.Contains(body, `"outcome":"NotRun"`) {
+		t.Errorf("status %d: %s", status, body)
+	}
+	if figures := b.engine.Account().Figures(); len(figures.Runs) != 0 {
+		t.Errorf("the engine ran %v", figures.Runs)
+	}
+}
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -37,6 +37,13 @@
 	}
 	r := newRelay(g, req)
 	g.register(r)
+	// The key may have been withdrawn before the request was registered, and
+	// CheckKeys has not seen it then.
+	if !g.cfg.Parts.IsValid(caller) {
+		r.finish()
+
+		return g.refuseKey(c)
+	}
 	if p := r.start(ctx); p != nil {
 		r.finish()
 
