Read under its lock why a request was ended

Ruled out: the other readers of the field hold the lock or come after it. Change: finish reads it under the lock.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -319,6 +319,10 @@
 func (r *relay) finish() {
 	g := r.gateway
 	g.unregister(r)
+	// A cancel that found the request before may still be on its way.
+	r.mu.Lock()
+	canceled := r.canceled
+	r.mu.Unlock()
 	used := 0
 	if r.outcome != OutcomeNotRun {
 		used = r.inputTokens() + r.delivered - r.req.resume
@@ -334,7 +338,7 @@
 		zap.String("Server", r.slot.Server),
 		zap.Int("Servers", r.servers),
 		zap.String("Outcome", string(r.outcome)),
-		zap.String("Canceled", r.canceled),
+		zap.String("Canceled", canceled),
 		zap.Int("Tokens", r.delivered),
 		zap.Duration("Took", g.cfg.Timer.Now().Sub(r.started)),
 	)
