--- a/attempt/book.go
+++ b/attempt/book.go
@@ -28,7 +28,7 @@
 	"github.com/sourcegraph/conc"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/ring"
 	"papayastair.dev/papayastair/service"
 	"papayastair.dev/papayastair/timer"
@@ -53,7 +53,7 @@
 	// Timer is the clock.
 	Timer *timer.Service
 	// Store is the way to the records.
-	Store platform.Store
+	Store objectstore.Store
 	// Log takes the events.
 	Log *event.Log
 	// Registry takes the metrics; nil stands for one that nobody reads:
@@ -125,7 +125,7 @@
 		cfg.Registry = metrics.NewRegistry()
 	}
 	if cfg.NewBackoff == nil {
-		cfg.NewBackoff = platform.NewBackoff
+		cfg.NewBackoff = objectstore.NewBackoff
 	}
 	orDefault(&cfg.Shards, 16)
 	orDefault(&cfg.Life, 24*time.Hour)
--- a/attempt/fleet_test.go
+++ b/attempt/fleet_test.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"papayastair.dev/papayastair/history"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/ring"
 	"papayastair.dev/papayastair/service"
 	"papayastair.dev/papayastair/standin"
@@ -31,7 +31,7 @@
 	clock  *timer.Service
 	cfg    Config
 	memory *standin.Store
-	store  platform.Store
+	store  objectstore.Store
 	nodes  []*node
 	events []wire.HistoryEvent
 	// answers are the bodies of the answers that callers got, by key.
@@ -93,7 +93,7 @@
 	cfg.Instance = name
 	cfg.Incarnation = incarnation
 	cfg.NewBackoff = func() *backoff.ExponentialBackOff {
-		b := platform.NewBackoff()
+		b := objectstore.NewBackoff()
 		b.RandomizationFactor = 0
 
 		return b
@@ -183,19 +183,19 @@
 	effect := func() stepResult {
 		return (&writer{cfg: &Config{Store: f.store}}).do(ctx, st)
 	}
-	fail := func(code platform.Code) stepResult { return stepResult{err: &platform.Error{Code: code}} }
+	fail := func(code objectstore.Code) stepResult { return stepResult{err: &objectstore.Error{Code: code}} }
 	f.after(_testTravel, func() {
 		switch {
 		case f.storeDown:
-			f.after(_testTravel, func() { reply(fail(platform.CodeNotRun)) })
+			f.after(_testTravel, func() { reply(fail(objectstore.CodeNotRun)) })
 		case f.lateWrites && st.kind == stepPut && f.rng.IntN(2) == 0:
 			f.after(time.Duration(f.rng.IntN(2000))*time.Millisecond, func() { effect() })
-			f.after(_testStoreTimeout, func() { reply(fail(platform.CodeUnknown)) })
+			f.after(_testStoreTimeout, func() { reply(fail(objectstore.CodeUnknown)) })
 		case f.loseReplies && f.rng.IntN(3) > 0:
 			if f.rng.IntN(4) > 0 {
 				effect()
 			}
-			f.after(_testStoreTimeout, func() { reply(fail(platform.CodeUnknown)) })
+			f.after(_testStoreTimeout, func() { reply(fail(objectstore.CodeUnknown)) })
 		default:
 			r := effect()
 			f.after(_testTravel, func() { reply(r) })
--- a/attempt/shard.go
+++ b/attempt/shard.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -486,8 +486,8 @@
 
 // done takes the result of a step.
 func (s *shard) done(st step, r stepResult, now time.Time) {
-	code := platform.CodeOf(r.err)
-	if code == platform.CodeUnknown || code == platform.CodeNotRun {
+	code := objectstore.CodeOf(r.err)
+	if code == objectstore.CodeUnknown || code == objectstore.CodeNotRun {
 		s.failed(st, r.err, now)
 	} else if st.kind != stepDelete {
 		s.failures = 0
@@ -524,8 +524,8 @@
 // doneGet takes a reading of the shard. One that is older than what is known
 // is left out.
 func (s *shard) doneGet(st step, r stepResult, now time.Time) {
-	code := platform.CodeOf(r.err)
-	if code != "" && code != platform.CodeNotFound {
+	code := objectstore.CodeOf(r.err)
+	if code != "" && code != objectstore.CodeNotFound {
 		return
 	}
 	if r.object.Version < s.version {
@@ -564,8 +564,8 @@
 
 func (s *shard) doneGetSegment(st step, r stepResult, now time.Time) {
 	var segment wire.AttemptSegment
-	switch code := platform.CodeOf(r.err); {
-	case code == platform.CodeNotFound:
+	switch code := objectstore.CodeOf(r.err); {
+	case code == objectstore.CodeNotFound:
 		s.mustRead = true
 		s.merge = nil
 		s.waitFrom(now)
@@ -616,8 +616,8 @@
 // donePut takes the result of a conditional write of the shard.
 func (s *shard) donePut(st step, r stepResult, now time.Time) {
 	d := s.draft
-	code := platform.CodeOf(r.err)
-	if code == platform.CodeConflict && s.inDoubt && s.cfg.unsafe.blindRetry {
+	code := objectstore.CodeOf(r.err)
+	if code == objectstore.CodeConflict && s.inDoubt && s.cfg.unsafe.blindRetry {
 		code = ""
 	}
 	if code != "" {
@@ -633,12 +633,12 @@
 		if s.merge == nil && s.spill == nil {
 			s.merge = chooseMerge(s.value, s.cfg.SpillBytes/2)
 		}
-	case platform.CodeUnknown:
+	case objectstore.CodeUnknown:
 		s.inDoubt = true
 		s.mustRead = !s.cfg.unsafe.blindRetry
 		s.cfg.Log.Write(event.AttemptWriteInDoubt, zap.String("Shard", s.name), zap.Int("Version", s.version), zap.Int("Operations", len(d.batch)))
-	case platform.CodeNotRun:
-	case platform.CodeConflict, platform.CodeNotFound, platform.CodeGone:
+	case objectstore.CodeNotRun:
+	case objectstore.CodeConflict, objectstore.CodeNotFound, objectstore.CodeGone:
 		s.mustRead = true
 		s.conflict++
 		if s.conflict > _conflictsToWait {
@@ -677,8 +677,8 @@
 	s.cfg.Log.Write(event.AttemptSegmentStored, zap.String("Segment", s.spill.ref.Name), zap.Int("Records", len(s.spill.records)))
 }
 
-func (s *shard) doneDelete(code platform.Code) {
-	if code == platform.CodeUnknown || code == platform.CodeNotRun {
+func (s *shard) doneDelete(code objectstore.Code) {
+	if code == objectstore.CodeUnknown || code == objectstore.CodeNotRun {
 		return
 	}
 	s.cfg.Log.Write(event.AttemptSegmentDropped, zap.String("Segment", s.dropped[0].Name))
--- a/cmd/papayastair/hierarchy.go
+++ b/cmd/papayastair/hierarchy.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"papayastair.dev/papayastair/configuration"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/platform"
 	"papayastair.dev/papayastair/settings"
 	"papayastair.dev/papayastair/wire"
@@ -33,7 +34,7 @@
 		WriterID: "operator-" + uuid.NewString(),
 		Sleep: func(ctx context.Context, d time.Duration) {
 			// It returns early when ctx ends, which the caller looks at.
-			_ = platform.Sleep(ctx, d)
+			_ = objectstore.Sleep(ctx, d)
 		},
 	}
 }
--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/settings"
 	"papayastair.dev/papayastair/wire"
 )
@@ -91,7 +91,7 @@
 // it reads, so it is made for a command and not for a long-lived process.
 type Applier struct {
 	// Store is the platform's.
-	Store platform.Store
+	Store objectstore.Store
 	// WriterID is unique in all processes at all times.
 	WriterID string
 	// KeepVersions is for how many versions a content that is out of use stays
@@ -253,7 +253,7 @@
 		return Result{}, false, err
 	}
 	_, err = c.applier.Store.Put(ctx, KindHead, HeadName, encode(next.Head), object.Version)
-	switch platform.CodeOf(err) {
+	switch objectstore.CodeOf(err) {
 	case "":
 		c.delete(ctx, old)
 
@@ -261,7 +261,7 @@
 			Version: next.Version,
 			Changed: true,
 		}, true, nil
-	case platform.CodeUnknown:
+	case objectstore.CodeUnknown:
 		c.doubtful = next.Version
 	default:
 		if c.doubtful == 0 {
--- a/configuration/carrier.go
+++ b/configuration/carrier.go
@@ -10,7 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"papayastair.dev/papayastair/peer"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -30,8 +30,8 @@
 
 // Carrier does a follower's calls in goroutines. Use Carry.
 type Carrier struct {
-	reads  platform.Store
-	writes platform.Store
+	reads  objectstore.Store
+	writes objectstore.Store
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -42,7 +42,7 @@
 // Carry sets the function fields of a follower that reach the store and the
 // peers. reads and status count the calls on the store by their causes. Close
 // the carrier after the follower is stopped and before the pool is closed.
-func Carry(f *Follower, pool *peer.Pool, reads, status platform.Store) *Carrier {
+func Carry(f *Follower, pool *peer.Pool, reads, status objectstore.Store) *Carrier {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Carrier{
 		reads:  reads,
@@ -106,7 +106,7 @@
 func (c *Carrier) writeStatus(ctx context.Context, s wire.DomainStatus) {
 	name := "configuration." + s.FailureDomain
 	object, err := c.writes.Get(ctx, KindStatus, name)
-	if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
+	if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
 		return
 	}
 	_, _ = c.writes.Put(ctx, KindStatus, name, encodeStatus(s), object.Version)
--- a/configuration/content.go
+++ b/configuration/content.go
@@ -5,7 +5,7 @@
 	"context"
 	"slices"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -47,7 +47,7 @@
 // its object.
 func (c *commit) storeContent(ctx context.Context, digest, content string) (wire.Object, error) {
 	object, err := c.applier.Store.Get(ctx, KindSubtree, digest)
-	if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
+	if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
 		return object, err
 	}
 	if c.applier.TrustStored && err == nil {
@@ -78,7 +78,7 @@
 	var old []wire.Object
 	for len(old) < _maxDeleted && len(next.Superseded) > 0 && next.Superseded[0].Since+keep <= next.Version {
 		object, err := c.applier.Store.Get(ctx, KindSubtree, next.Superseded[0].Digest)
-		if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
+		if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
 			return nil, err
 		}
 		old = append(old, object)
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"papayastair.dev/papayastair/membership"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/settings"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/timer"
@@ -25,7 +25,7 @@
 	clock     *timer.Service
 	random    *rand.Rand
 	store     *standin.Store
-	platform  platform.Store
+	platform  objectstore.Store
 	instances []*instance
 	unguarded Unguarded
 	faults    faults
@@ -272,7 +272,7 @@
 	}
 	refused := func() error {
 		if f.faults.storeDown || f.faults.noStore[x.self.Name] {
-			return &platform.Error{Code: platform.CodeNotRun}
+			return &objectstore.Error{Code: objectstore.CodeNotRun}
 		}
 
 		return nil
@@ -339,7 +339,7 @@
 		}
 	}
 
-	return wire.Object{}, &platform.Error{Code: platform.CodeNotFound}
+	return wire.Object{}, &objectstore.Error{Code: objectstore.CodeNotFound}
 }
 
 // putHead writes the head and notes the new state.
@@ -409,14 +409,14 @@
 			interleave()
 		}
 		if f.faults.storeDown {
-			return &platform.Error{Code: platform.CodeNotRun}
+			return &objectstore.Error{Code: objectstore.CodeNotRun}
 		}
 
 		return nil
 	}
 	after := func(version int, err error) (int, error) {
 		if err == nil && f.random.Float64() < f.faults.lostReplies {
-			return 0, &platform.Error{Code: platform.CodeUnknown}
+			return 0, &objectstore.Error{Code: objectstore.CodeUnknown}
 		}
 
 		return version, err
@@ -427,7 +427,7 @@
 		TrustStored:  f.trustStored,
 		KeepVersions: f.keepVersions,
 		Sleep:        func(_ context.Context, d time.Duration) { f.clock.Advance(min(d, 200*time.Millisecond)) },
-		Store: platform.Store{
+		Store: objectstore.Store{
 			Get: func(ctx context.Context, kind, name string) (wire.Object, error) {
 				if err := before(); err != nil {
 					return wire.Object{}, err
--- a/configuration/head.go
+++ b/configuration/head.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -46,7 +46,7 @@
 // is a head of version 0.
 func decodeHead(object wire.Object, err error) (wire.Head, error) {
 	var head wire.Head
-	if platform.CodeOf(err) == platform.CodeNotFound {
+	if objectstore.CodeOf(err) == objectstore.CodeNotFound {
 		return head, nil
 	}
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,7 +18,7 @@
 	"papayastair.dev/papayastair/configuration"
 	"papayastair.dev/papayastair/instance"
 	"papayastair.dev/papayastair/membership"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
@@ -80,7 +80,7 @@
 		applier: &configuration.Applier{
 			Store:    store.Store.Platform(),
 			WriterID: "fleet",
-			Sleep:    func(ctx context.Context, d time.Duration) { _ = platform.Sleep(ctx, d) },
+			Sleep:    func(ctx context.Context, d time.Duration) { _ = objectstore.Sleep(ctx, d) },
 		},
 	}
 	if err := f.start(); err != nil {
@@ -124,7 +124,7 @@
 		if lacking == "" {
 			return nil
 		}
-		if platform.Sleep(ctx, _pollPeriod) != nil {
+		if objectstore.Sleep(ctx, _pollPeriod) != nil {
 			return eris.Errorf("fleet: not ready: %s", lacking)
 		}
 	}
--- a/instance/request.go
+++ b/instance/request.go
@@ -9,7 +9,7 @@
 	"papayastair.dev/papayastair/engine"
 	"papayastair.dev/papayastair/gateway"
 	"papayastair.dev/papayastair/peer"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/quota"
 	"papayastair.dev/papayastair/routing"
 	"papayastair.dev/papayastair/wire"
@@ -369,7 +369,7 @@
 			return
 		}
 		// An error means that ctx has ended.
-		_ = platform.Sleep(ctx, _adapterPoll)
+		_ = objectstore.Sleep(ctx, _adapterPoll)
 	}
 }
 
--- a/instance/service.go
+++ b/instance/service.go
@@ -8,7 +8,7 @@
 
 	"papayastair.dev/papayastair/attempt"
 	"papayastair.dev/papayastair/gateway"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/routing"
 	"papayastair.dev/papayastair/service"
 	"papayastair.dev/papayastair/wire"
@@ -71,7 +71,7 @@
 	outcome := i.book.Do(ctx, recorded, run)
 	// Another call with the key may be running: its answer is worth a wait.
 	for pause := _repeatPause; outcome.Kind == attempt.KindUnknown && !sent && pause < _maxRepeatPause; pause *= 2 {
-		if platform.Sleep(ctx, pause) != nil {
+		if objectstore.Sleep(ctx, pause) != nil {
 			break
 		}
 		outcome = i.book.Do(ctx, recorded, run)
--- a/load/faults.go
+++ b/load/faults.go
@@ -11,7 +11,7 @@
 	"papayastair.dev/papayastair/connection"
 	"papayastair.dev/papayastair/fleet"
 	"papayastair.dev/papayastair/instance"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
@@ -46,7 +46,7 @@
 	for _, fault := range faults {
 		wg.Go(func() {
 			at := start.Add(time.Duration(fault.AtSeconds) * time.Second)
-			if platform.Sleep(ctx, time.Until(at)) == nil {
+			if objectstore.Sleep(ctx, time.Until(at)) == nil {
 				fail(ctx, f, fault)
 			}
 		})
@@ -60,7 +60,7 @@
 	case wire.ExperimentFaultKindStoreDown:
 		f.Platform.Store.SetFaults(standin.StoreFaults{Down: true})
 		// The store comes back also when the run ends early.
-		_ = platform.Sleep(ctx, time.Duration(fault.Seconds)*time.Second)
+		_ = objectstore.Sleep(ctx, time.Duration(fault.Seconds)*time.Second)
 		f.Platform.Store.SetFaults(standin.StoreFaults{})
 	case wire.ExperimentFaultKindInstanceStopped:
 		stop, cancel := context.WithTimeout(ctx, _stopTimeout)
--- a/load/locator.go
+++ b/load/locator.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"papayastair.dev/papayastair/caller"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -33,7 +33,7 @@
 		place := failureDomains[c%len(failureDomains)]
 		ttl := l.ask(c, place, c)
 		wg.Go(func() {
-			for n := c; platform.Sleep(ctx, ttl) == nil; n++ {
+			for n := c; objectstore.Sleep(ctx, ttl) == nil; n++ {
 				ttl = l.ask(c, place, n)
 			}
 		})
--- a/load/run.go
+++ b/load/run.go
@@ -16,7 +16,7 @@
 	"papayastair.dev/papayastair/caller"
 	"papayastair.dev/papayastair/connection"
 	"papayastair.dev/papayastair/fleet"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
@@ -124,7 +124,7 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		// The context ends only after the requests.
-		_ = platform.Sleep(ctx, time.Until(r.start.Add(a.At)))
+		_ = objectstore.Sleep(ctx, time.Until(r.start.Add(a.At)))
 		requests.Go(func() { r.send(a, i) })
 	}
 	requests.Wait()
@@ -241,7 +241,7 @@
 
 // report writes a line each second.
 func (r *runner) report(ctx context.Context, w io.Writer) {
-	for platform.Sleep(ctx, time.Second) == nil {
+	for objectstore.Sleep(ctx, time.Second) == nil {
 		done, refused, within := 0, 0, 0
 		r.mu.Lock()
 		for i := range r.samples {
--- a/load/target.go
+++ b/load/target.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"papayastair.dev/papayastair/fleet"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
@@ -53,7 +53,7 @@
 func settle(ctx context.Context, f *fleet.Fleet) {
 	for loads := -1; loads != readBooks(f).loads; {
 		loads = readBooks(f).loads
-		if platform.Sleep(ctx, _settleTime) != nil {
+		if objectstore.Sleep(ctx, _settleTime) != nil {
 			return
 		}
 	}
--- a/membership/carrier.go
+++ b/membership/carrier.go
@@ -8,7 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"papayastair.dev/papayastair/peer"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -36,7 +36,7 @@
 
 // Carrier does a detector's calls on the store. Use Carry.
 type Carrier struct {
-	store  platform.Store
+	store  objectstore.Store
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -47,7 +47,7 @@
 // Carry sets the function fields of a detector that reach the store and the
 // peers. Close the carrier after the detector is stopped and before the pool
 // is closed.
-func Carry(d *Detector, pool *peer.Pool, store platform.Store) *Carrier {
+func Carry(d *Detector, pool *peer.Pool, store objectstore.Store) *Carrier {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Carrier{
 		store:  store,
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
@@ -502,7 +502,7 @@
 
 func (d *Detector) onList(whole bool, list wire.ObjectList, err error) {
 	if err != nil {
-		if platform.CodeOf(err) == platform.CodeGone {
+		if objectstore.CodeOf(err) == objectstore.CodeGone {
 			d.list.revision = 0
 		} else if !d.list.failing {
 			d.Log.Write(event.ListUnreadable, zap.Error(err))
--- a/platform/follow.go
+++ b/objectstore/follow.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -104,7 +104,9 @@
 		f.dropMissing(list)
 	}
 	for _, object := range list.Objects {
-		if object.Version <= f.known[object.Name] {
+		// A deletion may bear the version of the object's last change.
+		known := f.known[object.Name]
+		if object.Version < known || object.Version == known && object.Value != "" {
 			continue
 		}
 		f.known[object.Name] = object.Version
--- a/platform/store.go
+++ b/objectstore/store.go
@@ -1,4 +1,4 @@
-// Package platform is the way to the platform's object API, the only place
+// Package objectstore is the way to the platform's object API, the only place
 // where the system agrees on anything or keeps anything. Store is the seam:
 // Client makes one over HTTP, and tests take one from package standin.
 //
@@ -6,7 +6,7 @@
 // it blindly proves nothing: a conflict may be another's write or one's own.
 // Values therefore carry a wire.Writer, and the writer reads the object again
 // to learn whose write took effect.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -71,7 +71,7 @@
 
 // Error names the operation, the object and the reason.
 func (e *Error) Error() string {
-	return fmt.Sprintf("platform: %s %s/%s: %s: %s", e.Op, e.Kind, e.Name, e.Code, e.Reason)
+	return fmt.Sprintf("objectstore: %s %s/%s: %s: %s", e.Op, e.Kind, e.Name, e.Code, e.Reason)
 }
 
 // CodeOf is the code of an error of this package; CodeUnknown for others and
--- a/platform/update.go
+++ b/objectstore/update.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/update_test.go
+++ b/objectstore/update_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
@@ -19,15 +19,15 @@
 // writer overwrite the object in between.
 type faultyStore struct {
 	rng   *rand.Rand
-	store platform.Store
+	store objectstore.Store
 	late  []func()
-	other *platform.Writer
+	other *objectstore.Writer
 	trail int
 	// unsafe reports writes of unknown outcome as not run.
 	unsafe bool
 }
 
-func (f *faultyStore) platform() platform.Store {
+func (f *faultyStore) platform() objectstore.Store {
 	s := f.store
 	s.Get = func(ctx context.Context, kind, name string) (wire.Object, error) {
 		if f.rng.IntN(4) == 0 {
@@ -50,12 +50,12 @@
 }
 
 func (f *faultyStore) put(ctx context.Context, kind, name, value string, version int) (int, error) {
-	fail := func(code platform.Code) (int, error) {
-		if f.unsafe && code == platform.CodeUnknown {
-			code = platform.CodeNotRun
+	fail := func(code objectstore.Code) (int, error) {
+		if f.unsafe && code == objectstore.CodeUnknown {
+			code = objectstore.CodeNotRun
 		}
 
-		return 0, &platform.Error{
+		return 0, &objectstore.Error{
 			Op:   "put",
 			Kind: kind,
 			Name: name,
@@ -65,18 +65,18 @@
 	put := func() (int, error) { return f.store.Put(ctx, kind, name, value, version) }
 	switch f.rng.IntN(8) {
 	case 0:
-		return fail(platform.CodeNotRun)
+		return fail(objectstore.CodeNotRun)
 	case 1:
-		return fail(platform.CodeUnknown)
+		return fail(objectstore.CodeUnknown)
 	case 2:
 		f.late = append(f.late, func() { _, _ = put() })
 
-		return fail(platform.CodeUnknown)
+		return fail(objectstore.CodeUnknown)
 	case 3, 4:
 		_, _ = put()
 		f.overwrite(ctx)
 
-		return fail(platform.CodeUnknown)
+		return fail(objectstore.CodeUnknown)
 	case 5:
 		f.overwrite(ctx)
 	}
@@ -134,19 +134,19 @@
 	f := &faultyStore{
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		store:  store,
-		other:  platform.NewWriter("other"),
+		other:  objectstore.NewWriter("other"),
 		trail:  trail,
 		unsafe: unsafe,
 	}
-	outcomes := map[string]platform.Code{}
+	outcomes := map[string]objectstore.Code{}
 	for i := range 8 {
 		id := fmt.Sprint("writer", i)
 		tries := 0
-		_, err := platform.Update(t.Context(), platform.UpdateConfig{
+		_, err := objectstore.Update(t.Context(), objectstore.UpdateConfig{
 			Store:  f.platform(),
 			Kind:   "Thing",
 			Name:   "a",
-			Writer: platform.NewWriter(id),
+			Writer: objectstore.NewWriter(id),
 			Change: appendWrite(trail),
 			Trail:  readTrail,
 			Sleep: func(context.Context, time.Duration) error {
@@ -158,7 +158,7 @@
 				return nil
 			},
 		})
-		outcomes[id] = platform.CodeOf(err)
+		outcomes[id] = objectstore.CodeOf(err)
 	}
 	f.land()
 	object, err := store.Get(t.Context(), "Thing", "a")
@@ -176,9 +176,9 @@
 	for id, code := range outcomes {
 		n := effects[id]
 		switch {
-		case code == platform.CodeUnknown && n <= 1:
+		case code == objectstore.CodeUnknown && n <= 1:
 			unknown++
-		case code == "" && n == 1, code == platform.CodeNotRun && n == 0:
+		case code == "" && n == 1, code == objectstore.CodeNotRun && n == 0:
 		default:
 			wrong++
 		}
@@ -251,7 +251,7 @@
 	type answer struct {
 		op   string
 		list wire.ObjectList
-		code platform.Code
+		code objectstore.Code
 	}
 	answers := []answer{
 		{
@@ -263,7 +263,7 @@
 		},
 		{
 			op:   "watch",
-			code: platform.CodeUnknown,
+			code: objectstore.CodeUnknown,
 		},
 		{
 			op: "watch",
@@ -281,7 +281,7 @@
 		},
 		{
 			op:   "watch",
-			code: platform.CodeGone,
+			code: objectstore.CodeGone,
 		},
 		{
 			op:   "list",
@@ -311,13 +311,13 @@
 			cancel()
 		}
 		if a.code != "" {
-			return wire.ObjectList{}, &platform.Error{Code: a.code}
+			return wire.ObjectList{}, &objectstore.Error{Code: a.code}
 		}
 
 		return a.list, nil
 	}
-	platform.Follow(ctx, platform.FollowConfig{
-		Store: platform.Store{
+	objectstore.Follow(ctx, objectstore.FollowConfig{
+		Store: objectstore.Store{
 			List:  func(context.Context, string) (wire.ObjectList, error) { return next("list") },
 			Watch: func(context.Context, string, int) (wire.ObjectList, error) { return next("watch") },
 		},
--- a/order/lease.go
+++ b/order/lease.go
@@ -13,7 +13,7 @@
 
 	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/placement"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -208,7 +208,7 @@
 func (s *server) read(ctx context.Context) (wire.OrderLease, int, error) {
 	var lease wire.OrderLease
 	object, err := s.Store.Get(ctx, _kind, s.settings.Name)
-	if platform.CodeOf(err) == platform.CodeNotFound {
+	if objectstore.CodeOf(err) == objectstore.CodeNotFound {
 		return lease, 0, nil
 	}
 	if err != nil {
@@ -234,7 +234,7 @@
 		panic("order: encode a lease: " + err.Error())
 	}
 	version, err := s.Store.Put(ctx, _kind, s.settings.Name, string(value), s.version)
-	switch platform.CodeOf(err) {
+	switch objectstore.CodeOf(err) {
 	case "":
 		s.version = version
 		s.unread = false
@@ -243,12 +243,12 @@
 		s.checked = s.written
 
 		return true
-	case platform.CodeConflict:
+	case objectstore.CodeConflict:
 		s.unread = true
 		if s.held {
 			s.reread(ctx)
 		}
-	case platform.CodeUnknown:
+	case objectstore.CodeUnknown:
 		s.unread = true
 		s.Log.Write(event.OrderStoreFailed, zap.String("BackendServer", s.settings.Name), zap.Error(err))
 	default:
--- a/order/manager.go
+++ b/order/manager.go
@@ -18,7 +18,7 @@
 
 	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/placement"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
@@ -77,7 +77,7 @@
 	// Incarnation rises with each start of the instance, in Unix
 	// milliseconds; Members must show it too.
 	Incarnation int
-	Store       platform.Store
+	Store       objectstore.Store
 	Catalog     *placement.Catalog
 	// Send sends an order once. An error means that the outcome is unknown.
 	// Send and Report must end within a second or two.
--- a/order/schedule_test.go
+++ b/order/schedule_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"papayastair.dev/papayastair/placement"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
@@ -276,7 +276,7 @@
 		in.afterPut = nil
 		after()
 	}
-	if kind == _kind && platform.CodeOf(err) == "" && w.chance(w.shape.faults.pauseInPut) {
+	if kind == _kind && objectstore.CodeOf(err) == "" && w.chance(w.shape.faults.pauseInPut) {
 		in.pause()
 	}
 
--- a/placement/catalog.go
+++ b/placement/catalog.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -21,7 +21,7 @@
 // Catalog mirrors the objects that say where the copies of each model stand,
 // and updates them. It is safe for concurrent use. Use NewCatalog.
 type Catalog struct {
-	store    platform.Store
+	store    objectstore.Store
 	writerID string
 
 	mu       sync.Mutex
@@ -46,7 +46,7 @@
 
 // NewCatalog returns an empty catalog. writerID must be unique for each start
 // of a process.
-func NewCatalog(store platform.Store, writerID string) *Catalog {
+func NewCatalog(store objectstore.Store, writerID string) *Catalog {
 	return &Catalog{
 		store:    store,
 		writerID: writerID,
@@ -92,7 +92,7 @@
 		return c.Refresh(ctx)
 	}
 	list, err := c.store.Watch(ctx, _kind, after)
-	if platform.CodeOf(err) == platform.CodeGone {
+	if objectstore.CodeOf(err) == objectstore.CodeGone {
 		return c.Refresh(ctx)
 	}
 	if err != nil {
@@ -206,7 +206,7 @@
 		return false, eris.Wrapf(err, "placement: encode %s", model)
 	}
 	newVersion, err := c.store.Put(ctx, _kind, model, string(value), version)
-	switch platform.CodeOf(err) {
+	switch objectstore.CodeOf(err) {
 	case "":
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -218,7 +218,7 @@
 		})
 
 		return true, nil
-	case platform.CodeConflict, platform.CodeUnknown:
+	case objectstore.CodeConflict, objectstore.CodeUnknown:
 		return c.reread(ctx, model, sequence)
 	default:
 		return false, eris.Wrapf(err, "placement: update %s", model)
@@ -229,7 +229,7 @@
 // with the given sequence.
 func (c *Catalog) reread(ctx context.Context, model string, sequence int) (bool, error) {
 	object, err := c.store.Get(ctx, _kind, model)
-	if platform.CodeOf(err) == platform.CodeNotFound {
+	if objectstore.CodeOf(err) == objectstore.CodeNotFound {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.objects, model)
--- a/quota/change.go
+++ b/quota/change.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -210,7 +210,7 @@
 	l.mu.Unlock()
 	if version == 0 {
 		object, err := l.cfg.Store.Get(ctx, _tableKind, _tableName)
-		if err != nil && platform.CodeOf(err) != platform.CodeNotFound {
+		if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
 			return false
 		}
 		// A fresh table: decoding into the old one would write into lists that
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
@@ -94,7 +94,7 @@
 	// Ask calls HandleAsk of another instance. It must never send twice.
 	Ask func(ctx context.Context, peer string, ask wire.QuotaAsk) (wire.QuotaAnswer, error)
 	// Store holds the table of shares.
-	Store platform.Store
+	Store objectstore.Store
 	// EvidenceLife is how long evidence that the table is current counts,
 	// and so how soon an instance that is cut off stops; the same on all
 	// instances. 0 means 5 s.
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"papayastair.dev/papayastair/history"
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
@@ -203,17 +203,17 @@
 }
 
 // access is the store as an instance reaches it.
-func (w *world) access(n *node) platform.Store {
+func (w *world) access(n *node) objectstore.Store {
 	store := w.store.Platform()
 	unreachable := func() error {
 		if n.cut {
-			return &platform.Error{Code: platform.CodeUnknown}
+			return &objectstore.Error{Code: objectstore.CodeUnknown}
 		}
 
 		return nil
 	}
 
-	return platform.Store{
+	return objectstore.Store{
 		Get: func(ctx context.Context, kind, name string) (wire.Object, error) {
 			if err := unreachable(); err != nil {
 				return wire.Object{}, err
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,16 +5,24 @@
 	"encoding/json"
 	"errors"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
+const (
+	// _pageItems bounds a page of a list, as the users' platform does.
+	_pageItems = 500
+	// _maxBodyBytes leaves room for a value of 1 MB that is quoted twice.
+	_maxBodyBytes = 4 << 20
+)
+
 // PlatformConfig is what a Platform starts with.
 type PlatformConfig struct {
 	// Address is the IP:port to listen on; port 0 takes a free one.
@@ -27,18 +35,22 @@
 	WritesPerSecond float64
 }
 
-// Platform serves a Store over HTTP to platform.Client:
+// Platform serves a Store over HTTP in the protocol that the users' platform
+// publishes, which package platform speaks:
+//
+//	POST   /api/objects/<kind>                       create
+//	GET    /api/objects/<kind>/<name>                one object
+//	PUT    /api/objects/<kind>/<name>                replace, if metadata.rev holds
+//	DELETE /api/objects/<kind>/<name>?rev=<n>        delete, if rev holds
+//	GET    /api/objects/<kind>?after=<name>          a page of a kind's objects
+//	GET    /api/objects/<kind>?watch=<n>&wait_ms=<n> changes after a revision
 //
-//	GET    /objects/<kind>/<name>               one object
-//	PUT    /objects/<kind>/<name>?version=<n>   conditional write of the body
-//	DELETE /objects/<kind>/<name>?version=<n>   conditional delete
-//	GET    /objects/<kind>                      all objects of a kind
-//	GET    /watch/<kind>?after=<n>&wait=<d>     changes after a revision
-//	GET    /calls                               calls so far, by operation, and
-//	                                            how many the rates refused
-//	GET    /faults, PUT /faults                 StoreFaults in JSON
+// and in calls of its own:
 //
-// Failures are 404, 409 with the current version, 410, 413 (a value over
+//	GET      /calls    calls so far, by operation, and how many were refused
+//	GET, PUT /faults   StoreFaults in JSON
+//
+// Failures are 404, 409 with the current object, 410, 413 (a value over
 // 1 MB), 429 (over the rates) and 503 (down). A lost reply closes the
 // connection after the write took effect.
 type Platform struct {
@@ -98,12 +110,10 @@
 		reply(r, fasthttp.StatusOK, p.Store.Calls())
 	case len(parts) == 1 && parts[0] == "faults":
 		p.handleFaults(r)
-	case len(parts) == 2 && parts[0] == "objects":
-		p.handleList(ctx, r, parts[1])
-	case len(parts) == 3 && parts[0] == "objects":
-		p.handleObject(ctx, r, parts[1], parts[2])
-	case len(parts) == 2 && parts[0] == "watch":
-		p.handleWatch(ctx, r, parts[1])
+	case len(parts) == 3 && parts[0] == "api" && parts[1] == "objects":
+		p.handleKind(ctx, r, parts[2])
+	case len(parts) == 4 && parts[0] == "api" && parts[1] == "objects":
+		p.handleObject(ctx, r, parts[2], parts[3])
 	default:
 		r.Error("no such path", fasthttp.StatusBadRequest)
 	}
@@ -136,73 +146,169 @@
 	reply(r, fasthttp.StatusOK, p.Store.Faults())
 }
 
+// storedObject is an object as the protocol spells it.
+type storedObject struct {
+	Metadata storedMetadata  `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type storedMetadata struct {
+	Name string `json:"name"`
+	Rev  int    `json:"rev"`
+}
+
+// spell turns an object of the store into the protocol's. Each value is told
+// as a JSON string; a reader takes a string for the value that it holds.
+func spell(o wire.Object) storedObject {
+	// A string can always be encoded.
+	spec, _ := json.Marshal(o.Value)
+
+	return storedObject{
+		Metadata: storedMetadata{
+			Name: o.Name,
+			Rev:  o.Version,
+		},
+		Spec: spec,
+	}
+}
+
+func (p *Platform) handleKind(ctx context.Context, r *fasthttp.RequestCtx, kind string) {
+	switch {
+	case r.IsPost():
+		p.write(ctx, r, "put", kind, "")
+	case r.QueryArgs().Has("watch"):
+		p.handleWatch(ctx, r, kind)
+	default:
+		p.handleList(ctx, r, kind)
+	}
+}
+
 func (p *Platform) handleList(ctx context.Context, r *fasthttp.RequestCtx, kind string) {
 	if !p.allow(r, p.reads) {
 		return
 	}
 	list, err := p.Store.list(ctx, kind)
-	answer(r, list, err)
+	after := string(r.QueryArgs().Peek("after"))
+	page := struct {
+		Items   []storedObject `json:"items"`
+		HasMore bool           `json:"has_more"`
+		AsOf    int            `json:"as_of"`
+	}{
+		Items: []storedObject{},
+		AsOf:  list.Version,
+	}
+	slices.SortFunc(list.Objects, func(a, b wire.Object) int { return strings.Compare(a.Name, b.Name) })
+	for _, o := range list.Objects {
+		if o.Name <= after {
+			continue
+		}
+		if len(page.Items) == _pageItems {
+			page.HasMore = true
+
+			break
+		}
+		page.Items = append(page.Items, spell(o))
+	}
+	answer(r, page, err)
 }
 
 func (p *Platform) handleWatch(ctx context.Context, r *fasthttp.RequestCtx, kind string) {
 	if !p.allow(r, p.reads) {
 		return
 	}
-	after, err := r.QueryArgs().GetUint("after")
+	after, err := r.QueryArgs().GetUint("watch")
 	if err != nil {
-		r.Error("after: "+err.Error(), fasthttp.StatusBadRequest)
+		r.Error("watch: "+err.Error(), fasthttp.StatusBadRequest)
 
 		return
 	}
-	wait, err := time.ParseDuration(string(r.QueryArgs().Peek("wait")))
+	wait, err := r.QueryArgs().GetUint("wait_ms")
 	if err != nil {
-		r.Error("wait: "+err.Error(), fasthttp.StatusBadRequest)
+		r.Error("wait_ms: "+err.Error(), fasthttp.StatusBadRequest)
 
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
 	defer cancel()
 	list, err := p.Store.watch(ctx, kind, after)
-	answer(r, list, err)
+	type change struct {
+		Removed bool         `json:"removed"`
+		Object  storedObject `json:"object"`
+	}
+	changes := struct {
+		Events []change `json:"events"`
+		AsOf   int      `json:"as_of"`
+	}{
+		Events: []change{},
+		AsOf:   list.Version,
+	}
+	for _, o := range list.Objects {
+		changes.Events = append(changes.Events, change{
+			Removed: o.Value == "",
+			Object:  spell(o),
+		})
+	}
+	answer(r, changes, err)
 }
 
 func (p *Platform) handleObject(ctx context.Context, r *fasthttp.RequestCtx, kind, name string) {
-	if r.IsGet() {
+	switch {
+	case r.IsPut():
+		p.write(ctx, r, "put", kind, name)
+	case r.IsDelete():
+		p.write(ctx, r, "delete", kind, name)
+	default:
 		if !p.allow(r, p.reads) {
 			return
 		}
 		object, err := p.Store.get(ctx, kind, name)
-		answer(r, object, err)
-
-		return
+		answer(r, spell(object), err)
 	}
+}
+
+// write carries out a create, replace or delete. An empty name stands in the
+// body.
+func (p *Platform) write(ctx context.Context, r *fasthttp.RequestCtx, op, kind, name string) {
 	if !p.allow(r, p.writes) {
 		return
 	}
-	if len(r.PostBody()) > _maxValueBytes {
+	if len(r.PostBody()) > _maxBodyBytes {
 		r.Error("value over 1 MB", fasthttp.StatusRequestEntityTooLarge)
 
 		return
 	}
-	version, err := r.QueryArgs().GetUint("version")
-	if err != nil {
-		r.Error("version: "+err.Error(), fasthttp.StatusBadRequest)
+	var body storedObject
+	if op == "put" {
+		if err := json.Unmarshal(r.PostBody(), &body); err != nil {
+			r.Error(err.Error(), fasthttp.StatusBadRequest)
 
-		return
+			return
+		}
+	} else {
+		body.Metadata.Rev = r.QueryArgs().GetUintOrZero("rev")
+	}
+	if name == "" {
+		name = body.Metadata.Name
+		body.Metadata.Rev = 0
 	}
 	object := wire.Object{
 		Kind:    kind,
 		Name:    name,
-		Version: version,
-		Value:   string(r.PostBody()),
+		Version: body.Metadata.Rev,
+		Value:   string(body.Spec),
 	}
-	op := "put"
-	if r.IsDelete() {
-		op = "delete"
+	var text string
+	if json.Unmarshal(body.Spec, &text) == nil {
+		object.Value = text
 	}
+	if len(object.Value) > _maxValueBytes {
+		r.Error("value over 1 MB", fasthttp.StatusRequestEntityTooLarge)
+
+		return
+	}
+	var err error
 	object.Version, err = p.Store.write(ctx, op, object)
-	object.Value = ""
-	answer(r, object, err)
+	answer(r, spell(object), err)
 }
 
 // allow counts a call against a rate and refuses it when the rate is used up.
@@ -218,29 +324,29 @@
 
 // answer turns an outcome of the store into a status.
 func answer(r *fasthttp.RequestCtx, value any, err error) {
-	var e *platform.Error
+	var e *objectstore.Error
 	if err != nil && !errors.As(err, &e) {
 		r.Error(err.Error(), fasthttp.StatusInternalServerError)
 
 		return
 	}
-	switch platform.CodeOf(err) {
+	switch objectstore.CodeOf(err) {
 	case "":
 		reply(r, fasthttp.StatusOK, value)
-	case platform.CodeNotFound:
+	case objectstore.CodeNotFound:
 		r.Error(err.Error(), fasthttp.StatusNotFound)
-	case platform.CodeConflict:
-		reply(r, fasthttp.StatusConflict, wire.Object{
+	case objectstore.CodeConflict:
+		reply(r, fasthttp.StatusConflict, spell(wire.Object{
 			Kind:    e.Kind,
 			Name:    e.Name,
 			Version: e.Version,
 			Value:   "",
-		})
-	case platform.CodeGone:
+		}))
+	case objectstore.CodeGone:
 		r.Error(err.Error(), fasthttp.StatusGone)
-	case platform.CodeNotRun:
+	case objectstore.CodeNotRun:
 		r.Error(err.Error(), fasthttp.StatusServiceUnavailable)
-	case platform.CodeUnknown:
+	case objectstore.CodeUnknown:
 		drop(r)
 	}
 }
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -11,12 +11,13 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/platform"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
 )
 
-func newPlatform(t *testing.T, cfg standin.PlatformConfig) (*standin.Platform, platform.Store) {
+func newPlatform(t *testing.T, cfg standin.PlatformConfig) (*standin.Platform, objectstore.Store) {
 	t.Helper()
 	cfg.Address = "127.0.0.1:0"
 	p, err := standin.NewPlatform(cfg)
@@ -54,26 +55,26 @@
 		name   string
 		faults standin.StoreFaults
 		call   func() error
-		want   platform.Code
+		want   objectstore.Code
 		value  string
 	}{
 		{
 			name:  "conflict",
 			call:  func() error { return put(ctx, "2", first+7) },
-			want:  platform.CodeConflict,
+			want:  objectstore.CodeConflict,
 			value: "1",
 		},
 		{
 			name:   "down",
 			faults: standin.StoreFaults{Down: true},
 			call:   func() error { return put(ctx, "2", first) },
-			want:   platform.CodeNotRun,
+			want:   objectstore.CodeNotRun,
 			value:  "1",
 		},
 		{
 			name:  "too large",
 			call:  func() error { return put(ctx, strings.Repeat("x", 1<<20+1), first) },
-			want:  platform.CodeNotRun,
+			want:  objectstore.CodeNotRun,
 			value: "1",
 		},
 		{
@@ -84,14 +85,14 @@
 
 				return err
 			},
-			want:  platform.CodeUnknown,
+			want:  objectstore.CodeUnknown,
 			value: "1",
 		},
 		{
 			name:   "reply lost",
 			faults: standin.StoreFaults{LoseReplies: true},
 			call:   func() error { return put(ctx, "2", first) },
-			want:   platform.CodeUnknown,
+			want:   objectstore.CodeUnknown,
 			value:  "2",
 		},
 		{
@@ -101,14 +102,14 @@
 
 				return err
 			},
-			want:  platform.CodeNotFound,
+			want:  objectstore.CodeNotFound,
 			value: "2",
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p.Store.SetFaults(test.faults)
-			got := platform.CodeOf(test.call())
+			got := objectstore.CodeOf(test.call())
 			p.Store.SetFaults(standin.StoreFaults{})
 			object, err := store.Get(ctx, "Thing", "a/b c")
 			if err != nil {
@@ -175,11 +176,11 @@
 	if _, err := store.Put(ctx, "Thing", "b", "2", 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := store.Get(ctx, "Thing", "b"); platform.CodeOf(err) != platform.CodeNotFound {
+	if _, err := store.Get(ctx, "Thing", "b"); objectstore.CodeOf(err) != objectstore.CodeNotFound {
 		t.Errorf("stale read of a new object: %v", err)
 	}
 	p.Store.SetFaults(standin.StoreFaults{Down: true})
-	if _, err := store.Watch(ctx, "Thing", one+2); platform.CodeOf(err) != platform.CodeNotRun {
+	if _, err := store.Watch(ctx, "Thing", one+2); objectstore.CodeOf(err) != objectstore.CodeNotRun {
 		t.Errorf("watch of a store that is down: %v", err)
 	}
 	p.Store.SetFaults(standin.StoreFaults{})
@@ -206,7 +207,7 @@
 		runtime.Gosched()
 	}
 	client.Close()
-	if err := <-ended; platform.CodeOf(err) != platform.CodeUnknown {
+	if err := <-ended; objectstore.CodeOf(err) != objectstore.CodeUnknown {
 		t.Errorf("watch ended with %v", err)
 	}
 }
@@ -218,7 +219,7 @@
 	if _, err := store.Put(ctx, "Thing", "a", "1", 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := store.Put(ctx, "Thing", "b", "1", 0); platform.CodeOf(err) != platform.CodeNotRun {
+	if _, err := store.Put(ctx, "Thing", "b", "1", 0); objectstore.CodeOf(err) != objectstore.CodeNotRun {
 		t.Errorf("write over the rate: %v", err)
 	}
 	want := map[string]int{"put": 1, "refused": 1}
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 )
 
 // Headers that the stand-ins and the system use.
@@ -148,13 +148,13 @@
 
 func (s *Service) handleCall(ctx context.Context, r *fasthttp.RequestCtx) {
 	faults := s.Faults()
-	if faults.Crash || platform.Sleep(ctx, faults.DelayBefore) != nil {
+	if faults.Crash || objectstore.Sleep(ctx, faults.DelayBefore) != nil {
 		drop(r)
 
 		return
 	}
 	s.record(r)
-	if faults.LoseReplies || platform.Sleep(ctx, faults.DelayAfter) != nil {
+	if faults.LoseReplies || objectstore.Sleep(ctx, faults.DelayAfter) != nil {
 		drop(r)
 
 		return
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"papayastair.dev/papayastair/platform"
+	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
 
@@ -69,7 +69,7 @@
 		objects: map[objectKey]wire.Object{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
-		sleep:   platform.Sleep,
+		sleep:   objectstore.Sleep,
 	}
 }
 
@@ -108,8 +108,8 @@
 }
 
 // Platform returns access to the store without a network.
-func (s *Store) Platform() platform.Store {
-	return platform.Store{
+func (s *Store) Platform() objectstore.Store {
+	return objectstore.Store{
 		Get:    s.get,
 		List:   s.list,
 		Put:    s.put,
@@ -126,7 +126,7 @@
 	defer s.mu.Unlock()
 	object, ok := objects[objectKey{kind: kind, name: name}]
 	if !ok {
-		return wire.Object{}, failure("get", kind, name, platform.CodeNotFound, 0)
+		return wire.Object{}, failure("get", kind, name, objectstore.CodeNotFound, 0)
 	}
 
 	return object, nil
@@ -178,11 +178,11 @@
 	}
 	defer s.mu.Unlock()
 	if len(object.Value) > _maxValueBytes {
-		return 0, failure(op, object.Kind, object.Name, platform.CodeNotRun, 0)
+		return 0, failure(op, object.Kind, object.Name, objectstore.CodeNotRun, 0)
 	}
 	key := objectKey{kind: object.Kind, name: object.Name}
 	if current := s.objects[key].Version; current != object.Version {
-		return 0, failure(op, object.Kind, object.Name, platform.CodeConflict, current)
+		return 0, failure(op, object.Kind, object.Name, objectstore.CodeConflict, current)
 	}
 	s.revision++
 	object.Version = s.revision
@@ -197,7 +197,7 @@
 	}
 	s.notify()
 	if faults.LoseReplies {
-		return 0, failure(op, object.Kind, object.Name, platform.CodeUnknown, 0)
+		return 0, failure(op, object.Kind, object.Name, objectstore.CodeUnknown, 0)
 	}
 
 	return s.revision, nil
@@ -211,13 +211,13 @@
 		if after < s.dropped {
 			s.mu.Unlock()
 
-			return wire.ObjectList{}, failure("watch", kind, "", platform.CodeGone, 0)
+			return wire.ObjectList{}, failure("watch", kind, "", objectstore.CodeGone, 0)
 		}
 		list := s.changesAfter(kind, after)
 		changed, down := s.changed, s.faults.Down
 		s.mu.Unlock()
 		if down {
-			return wire.ObjectList{}, failure("watch", kind, "", platform.CodeNotRun, 0)
+			return wire.ObjectList{}, failure("watch", kind, "", objectstore.CodeNotRun, 0)
 		}
 		if len(list.Objects) > 0 {
 			return list, nil
@@ -276,14 +276,14 @@
 	s.mu.Unlock()
 	if faults.Latency > 0 {
 		if err := s.sleep(ctx, min(faults.Latency, _maxStoreLatency)); err != nil {
-			return nil, faults, failure(op, kind, name, platform.CodeNotRun, 0)
+			return nil, faults, failure(op, kind, name, objectstore.CodeNotRun, 0)
 		}
 	}
 	s.mu.Lock()
 	if s.faults.Down {
 		s.mu.Unlock()
 
-		return nil, faults, failure(op, kind, name, platform.CodeNotRun, 0)
+		return nil, faults, failure(op, kind, name, objectstore.CodeNotRun, 0)
 	}
 	if s.faults.Stale {
 		return s.stale.objects, s.faults, nil
@@ -305,8 +305,8 @@
 	s.changed = make(chan struct{})
 }
 
-func failure(op, kind, name string, code platform.Code, version int) *platform.Error {
-	return &platform.Error{
+func failure(op, kind, name string, code objectstore.Code, version int) *objectstore.Error {
+	return &objectstore.Error{
 		Op:      op,
 		Kind:    kind,
 		Name:    name,
