--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"time"
+
+	"papayastair.dev/papayastair/site"
+)
+
+const (
+	// _missingMemory is how long a target that a backend server refused as not
+	// held is not asked for there again.
+	_missingMemory = time.Second
+	// _failuresToAvoid is how many failures in a row make a backend server
+	// avoided; _avoidFirst and _avoidMost are for how long.
+	_failuresToAvoid = 3
+	_avoidFirst      = 500 * time.Millisecond
+	_avoidMost       = 4 * time.Second
+	// _failureShare is the share of failures above which it is avoided also
+	// when successes come between.
+	_failureShare  = 0.5
+	_shareMemory   = 0.8
+	_shareMinimum  = 6
+	_maxAvoidShare = 0.5
+	// _slowMemory smooths the time to the first byte.
+	_slowMemory = 0.85
+	_slowUnit   = 100 * time.Millisecond
+)
+
+// Result is how a request at a backend server ended.
+type Result int
+
+// Results.
+const (
+	// ResultOK is a complete answer, whatever its status.
+	ResultOK Result = iota
+	// ResultNotRun is a refusal by a full or leaving backend server.
+	ResultNotRun
+	// ResultNotHeld is a refusal because the target isn't held there.
+	ResultNotHeld
+	// ResultFailed is no answer, or one that broke off or isn't the request's.
+	ResultFailed
+	// ResultError is a complete answer that says that the server failed.
+	ResultError
+	// ResultLeft is a request whose caller left or whose time was over.
+	ResultLeft
+)
+
+// Run is a request at a backend server.
+type Run struct {
+	server *server
+	target string
+	ended  bool
+}
+
+// health is how a backend server has answered lately.
+type health struct {
+	inRow   int
+	share   float64
+	samples int
+	until   time.Time
+	times   int
+}
+
+func (h *health) avoided(now time.Time) bool {
+	return now.Before(h.until)
+}
+
+func (h *health) take(failed bool, now time.Time) {
+	h.samples++
+	h.share *= _shareMemory
+	if !failed {
+		h.inRow = 0
+		if h.share < _failureShare/2 {
+			h.times = 0
+		}
+
+		return
+	}
+	h.inRow++
+	h.share += 1 - _shareMemory
+	if h.inRow < _failuresToAvoid && (h.samples < _shareMinimum || h.share < _failureShare) {
+		return
+	}
+	wait := min(_avoidFirst<<h.times, _avoidMost)
+	if h.times < 3 {
+		h.times++
+	}
+	h.until = now.Add(wait)
+	// One failure of the probe that follows is enough.
+	h.inRow = _failuresToAvoid - 1
+}
+
+// Begin counts a request at a backend server, until End.
+func (b *Board) Begin(id string, target site.Target, now time.Time) *Run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	run := &Run{target: target.String()}
+	if s := b.servers[id]; s != nil {
+		s.running++
+		run.server = s
+	}
+
+	return run
+}
+
+// End takes a request's result. first is the time from its sending to the
+// first byte of its answer; 0 if there was none.
+func (b *Board) End(run *Run, result Result, first time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := run.server
+	if s == nil || run.ended {
+		return
+	}
+	run.ended = true
+	s.running--
+	switch result {
+	case ResultOK:
+		s.health.take(false, now)
+	case ResultFailed, ResultError:
+		s.health.take(true, now)
+	case ResultNotHeld:
+		s.missing[run.target] = now
+	case ResultNotRun, ResultLeft:
+	}
+	if first > 0 {
+		s.speed = s.speed*_slowMemory + (1-_slowMemory)*float64(first)/float64(_slowUnit)
+	}
+}
+
+// Leave marks a backend server as leaving by its own word, ahead of its entry.
+func (b *Board) Leave(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[id]; s != nil {
+		s.entry.Draining = true
+	}
+}
+
+// mayAvoid says whether enough backend servers of a service are in order for
+// the others to be avoided: a service that fails as a whole is used as it is.
+func (b *Board) mayAvoid(all []*server, now time.Time) bool {
+	avoided := 0
+	for _, s := range all {
+		if s.health.avoided(now) {
+			avoided++
+		}
+	}
+
+	return float64(avoided) <= _maxAvoidShare*float64(len(all))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,306 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/allowance"
+	"papayastair.dev/papayastair/dispatch"
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/exchange"
+	"papayastair.dev/papayastair/hop"
+	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/site"
+	"papayastair.dev/papayastair/steward"
+	"papayastair.dev/papayastair/timer"
+)
+
+const (
+	// _trimEvery is the time between two looks for idle connections.
+	_trimEvery = time.Second
+	// _leaveMargin is how long before the platform ends a process that was
+	// told to stop it ends itself.
+	_leaveMargin = 400 * time.Millisecond
+	// _ttlsKept is for how many times its time to live callers may keep an
+	// answer to where they should go.
+	_ttlsKept = 3
+)
+
+// Config is what an Entry works with.
+type Config struct {
+	// Settings are the process's own.
+	Settings Settings
+	// Dialect translates messages.
+	Dialect Dialect
+	// Store is access to the platform's store, counted by cause, with watches
+	// that wait at most wait.
+	Store func(cause string, wait time.Duration) objectstore.Store
+	// Give and Report are the calls at backend servers that the steward makes.
+	Give   func(ctx context.Context, server site.BackendServer, o steward.Order) (steward.Result, error)
+	Report func(ctx context.Context, server site.BackendServer) (site.Report, error)
+	// Log takes the events, and Registry the counters.
+	Log      *event.Log
+	Registry metrics.Registry
+}
+
+// Entry is one serving process. Use New.
+type Entry struct {
+	cfg     Config
+	start   int
+	began   time.Duration
+	board   *dispatch.Board
+	book    *allowance.Book
+	demand  *demandCounter
+	hub     *exchange.Hub
+	lease   *steward.Lease
+	steward *steward.Steward
+	servers []*hop.Server
+
+	current  atomic.Pointer[site.Configuration]
+	evidence evidence
+	leaving  atomic.Bool
+	limits   atomic.Pointer[site.Limits]
+
+	records recordBook
+	mu      sync.Mutex
+	pools   map[string]*hop.Pool
+	needs   map[string]time.Time
+	changed chan struct{}
+	asked   map[string]peerDemand
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   conc.WaitGroup
+}
+
+// New starts serving. Requests are refused until a configuration is known.
+func New(cfg Config) (*Entry, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		cfg:   cfg,
+		start: int(time.Now().UnixMilli()),
+		began: timer.Elapsed(),
+		board: dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), dispatch.RetryLimits{
+			Ratio:     cfg.Settings.Bounds.RetryRatio,
+			Slack:     cfg.Settings.Bounds.RetrySlack,
+			Window:    cfg.Settings.Bounds.RetryWindow,
+			Instances: 1,
+		}),
+		book:    allowance.New(),
+		demand:  newDemandCounter(),
+		pools:   map[string]*hop.Pool{},
+		needs:   map[string]time.Time{},
+		changed: make(chan struct{}),
+		asked:   map[string]peerDemand{},
+		ctx:     ctx,
+		stop:    cancel,
+	}
+	e.evidence.init()
+	e.records.init()
+	limits := _firstLimits
+	e.limits.Store(&limits)
+	if err := e.open(); err != nil {
+		cancel()
+		e.closeServers()
+
+		return nil, err
+	}
+	e.follow()
+	e.wg.Go(e.trim)
+	s := cfg.Settings
+	cfg.Log.Write(event.EntryStarted, zap.Int("Start", e.start), zap.String("Callers", s.CallerAddress), zap.String("Peers", s.PeerAddress),
+		zap.String("Store", s.StoreAddress), zap.String("FailureDomain", s.FailureDomain), zap.Any("Bounds", s.Bounds))
+
+	return e, nil
+}
+
+// _firstLimits hold until a configuration is known.
+var _firstLimits = site.Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     4 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+func (e *Entry) open() error {
+	s := e.cfg.Settings
+	var err error
+	e.hub, err = exchange.Open(exchange.Config{
+		Address: s.PeerAddress,
+		Name:    s.Name,
+		Start:   e.start,
+		Compose: e.compose,
+		Heard:   e.heard,
+		Log:     e.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	e.lease = steward.NewLease(steward.LeaseConfig{
+		Store:   e.cfg.Store("Steward", 0),
+		Name:    s.Name,
+		Start:   e.start,
+		Turn:    s.Bounds.Turn,
+		Elapsed: timer.Elapsed,
+		Log:     e.cfg.Log,
+	})
+	e.steward = steward.New(steward.Config{
+		Lease:   e.lease,
+		Holder:  s.Name,
+		Engine:  e.engine,
+		Give:    e.cfg.Give,
+		Report:  e.cfg.Report,
+		Changed: e.heldChanged,
+		Log:     e.cfg.Log,
+	})
+	for address, handle := range map[string]func(r *hop.Request){
+		s.CallerAddress: e.handle,
+		s.ReadyAddress:  e.handleReady,
+		s.LocateAddress: e.handleLocate,
+	} {
+		if address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "entry: listen on %s", address)
+		}
+		e.servers = append(e.servers, hop.Serve(hop.ServerConfig{
+			Listener: listener,
+			Limits:   func() site.Limits { return *e.limits.Load() },
+			Handle:   handle,
+			Refused:  e.malformed,
+		}))
+	}
+
+	return nil
+}
+
+// Leave tells callers to go elsewhere, serves what still comes, and returns
+// when nothing runs and no caller is left, or when the time to stop is over.
+func (e *Entry) Leave() {
+	began := timer.Elapsed()
+	e.leaving.Store(true)
+	e.cfg.Log.Write(event.EntryLeaving, zap.Int("Busy", e.busy()))
+	e.hub.Push()
+	go e.removeRecord()
+	for _, s := range e.servers {
+		s.Drain()
+	}
+	least := _ttlsKept*e.ttl() + 500*time.Millisecond
+	most := e.cfg.Settings.Bounds.Grace - _leaveMargin
+	for {
+		time.Sleep(50 * time.Millisecond)
+		passed := timer.Elapsed() - began
+		if passed >= most || passed >= least && e.busy() == 0 {
+			return
+		}
+	}
+}
+
+// busy is how many requests wait for their answers.
+func (e *Entry) busy() int {
+	n := 0
+	for _, s := range e.servers {
+		n += s.Busy()
+	}
+
+	return n
+}
+
+// Close ends the process's work and waits.
+func (e *Entry) Close() {
+	e.cfg.Log.Write(event.EntryStopped, zap.Int("Busy", e.busy()))
+	e.stop()
+	e.steward.Close()
+	e.closeServers()
+	if e.hub != nil {
+		e.hub.Close()
+	}
+	e.wg.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		p.Close()
+	}
+}
+
+func (e *Entry) closeServers() {
+	for _, s := range e.servers {
+		s.Close()
+	}
+}
+
+func (e *Entry) trim() {
+	ticker := time.NewTicker(_trimEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		pools := make([]*hop.Pool, 0, len(e.pools))
+		for _, p := range e.pools {
+			pools = append(pools, p)
+		}
+		e.mu.Unlock()
+		for _, p := range pools {
+			p.Trim()
+		}
+		e.keepRecord()
+	}
+}
+
+// pool is the pool of connections to one start of a backend server.
+func (e *Entry) pool(s *site.BackendServer) *hop.Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := poolKey(s)
+	p := e.pools[id]
+	if p == nil {
+		dialed := metrics.GetOrRegisterCounter("Entry.Dialed."+s.Service, e.cfg.Registry)
+		p = hop.NewPool(s.Address, func() { dialed.Inc(1) })
+		e.pools[id] = p
+	}
+
+	return p
+}
+
+func poolKey(s *site.BackendServer) string {
+	return s.ID + "|" + s.Address
+}
+
+func (e *Entry) engine(service string) *site.Engine {
+	cfg := e.current.Load()
+	if cfg == nil || cfg.Services[service] == nil {
+		return nil
+	}
+
+	return cfg.Services[service].Engine
+}
+
+// wakeWaiters lets requests that wait for a place look again.
+func (e *Entry) wakeWaiters() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *Entry) waitChannel() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.changed
+}
--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,412 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/timer"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	// _evidenceWait is how long a watch of the configuration waits: each
+	// answer is evidence that nothing has changed.
+	_evidenceWait = time.Second
+	// _entryWait is how long other watches wait.
+	_entryWait = 15 * time.Second
+	// _keyMargin is how long before the bound on withdrawn keys requests with
+	// keys are refused: the time from the last check to the last byte sent.
+	_keyMargin = 700 * time.Millisecond
+	// _recordKind is the kind of the instances' records in the store.
+	_recordKind = "papayastair-entries"
+	// _recordSilence is how long an instance must be silent for its record to
+	// be removed by another.
+	_recordSilence = 30 * time.Second
+	_recordTimeout = time.Second
+)
+
+// evidence is when the configuration in force was current at the latest, by
+// the clock that counts pauses.
+type evidence struct {
+	mu   sync.Mutex
+	at   time.Duration
+	lost bool
+}
+
+func (v *evidence) init() {
+	v.at = -1 << 62
+	v.lost = true
+}
+
+// note takes newer evidence and says whether it was missing before.
+func (v *evidence) note(at time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.at = max(v.at, at)
+	regained := v.lost
+	v.lost = false
+
+	return regained
+}
+
+// age is how old the evidence is.
+func (v *evidence) age() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return timer.Elapsed() - v.at
+}
+
+// lose says whether the loss is new.
+func (v *evidence) lose() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	first := !v.lost
+	v.lost = true
+
+	return first
+}
+
+// follow begins to follow the store.
+func (e *Entry) follow() {
+	d := e.cfg.Dialect
+	e.wg.Go(func() { e.followConfiguration(d) })
+	e.wg.Go(func() { e.followServers(d) })
+	e.wg.Go(e.followRecords)
+}
+
+func (e *Entry) followConfiguration(d Dialect) {
+	var asked time.Duration
+	store := e.cfg.Store("Configuration", _evidenceWait)
+	list, watch := store.List, store.Watch
+	store.List = func(ctx context.Context, kind string) (wire.ObjectList, error) {
+		asked = timer.Elapsed()
+
+		return list(ctx, kind)
+	}
+	store.Watch = func(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
+		asked = timer.Elapsed()
+
+		return watch(ctx, kind, after)
+	}
+	objectstore.Follow(e.ctx, objectstore.FollowConfig{
+		Store: store,
+		Kind:  d.ConfigurationKind,
+		Changed: func(object wire.Object) {
+			if object.Name == d.ConfigurationName && object.Value != "" {
+				e.takeConfiguration(object)
+			}
+		},
+		Current: func(int) { e.noteEvidence(asked) },
+		Log:     e.cfg.Log,
+	})
+}
+
+func (e *Entry) noteEvidence(at time.Duration) {
+	if e.evidence.note(at) {
+		e.cfg.Log.Write(event.EvidenceRegained, zap.Duration("Age", timer.Elapsed()-at))
+	}
+}
+
+func (e *Entry) takeConfiguration(object wire.Object) {
+	cfg, err := e.cfg.Dialect.DecodeConfiguration(object.Value)
+	if err != nil {
+		e.cfg.Log.Write(event.DeclarationRefused, zap.Int("Revision", object.Version), zap.Error(err))
+
+		return
+	}
+	cfg.Revision = object.Version
+	cfg.Index()
+	if now := e.current.Load(); now != nil && now.Version > cfg.Version {
+		return
+	}
+	e.limits.Store(&cfg.Limits)
+	e.book.SetWorkspaces(cfg.Workspaces, time.Now())
+	e.current.Store(cfg)
+	e.cfg.Log.Write(event.DeclarationTaken, zap.Int("Version", cfg.Version), zap.Int("Revision", cfg.Revision),
+		zap.Int("Routes", len(cfg.Routes)), zap.Int("Services", len(cfg.Services)), zap.Int("Workspaces", len(cfg.Workspaces)))
+}
+
+// keysAllowed says whether requests with keys may be passed on: the
+// configuration was current so lately that no withdrawn key is still in it.
+func (e *Entry) keysAllowed() bool {
+	age := e.evidence.age()
+	if age <= e.cfg.Settings.Bounds.Revoke-_keyMargin {
+		return true
+	}
+	if e.evidence.lose() {
+		e.cfg.Log.Write(event.EvidenceLost, zap.Duration("Age", age))
+	}
+
+	return false
+}
+
+// isCurrent says whether the configuration is surely no older than callers may
+// expect, so that what is not in it doesn't exist.
+func (e *Entry) isCurrent() bool {
+	return e.evidence.age() <= e.cfg.Settings.Bounds.Apply
+}
+
+func (e *Entry) followServers(d Dialect) {
+	f := serverFollower{
+		entry:   e,
+		missing: map[string]bool{},
+	}
+	objectstore.Follow(e.ctx, objectstore.FollowConfig{
+		Store:   f.wrap(e.cfg.Store("Servers", _entryWait)),
+		Kind:    d.ServerKind,
+		Changed: f.changed,
+		Log:     e.cfg.Log,
+	})
+}
+
+// serverFollower keeps backend servers whose entries vanish while the store is
+// out of order until they have had the time to come back.
+type serverFollower struct {
+	entry *Entry
+	mu    sync.Mutex
+	// failedAt is when the store last failed, by timer.Elapsed.
+	failedAt time.Duration
+	failed   bool
+	missing  map[string]bool
+}
+
+// wrap notes the failures of the store's calls.
+func (f *serverFollower) wrap(store objectstore.Store) objectstore.Store {
+	list, watch := store.List, store.Watch
+	store.List = func(ctx context.Context, kind string) (wire.ObjectList, error) {
+		l, err := list(ctx, kind)
+		f.note(err)
+
+		return l, err
+	}
+	store.Watch = func(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
+		l, err := watch(ctx, kind, after)
+		f.note(err)
+
+		return l, err
+	}
+
+	return store
+}
+
+func (f *serverFollower) note(err error) {
+	if err == nil || objectstore.CodeOf(err) == objectstore.CodeGone {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = true
+	f.failedAt = timer.Elapsed()
+}
+
+// grace is how long a missing entry may still come back, because the store was
+// out of order until lately.
+func (f *serverFollower) grace() time.Duration {
+	if !f.failed {
+		return 0
+	}
+
+	return max(0, f.failedAt+f.entry.cfg.Settings.Bounds.EntryReturn-timer.Elapsed())
+}
+
+func (f *serverFollower) changed(object wire.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entry
+	if object.Value == "" {
+		grace := f.grace()
+		if grace == 0 {
+			f.remove(object.Name)
+
+			return
+		}
+		f.missing[object.Name] = true
+		time.AfterFunc(grace, func() { f.settle(object.Name) })
+
+		return
+	}
+	delete(f.missing, object.Name)
+	entry, err := e.cfg.Dialect.DecodeServer(object.Name, object.Value)
+	if err != nil {
+		e.cfg.Log.Write(event.ServerUnreadable, zap.String("Server", object.Name), zap.Int("Revision", object.Version), zap.Error(err))
+		f.remove(object.Name)
+
+		return
+	}
+	e.cfg.Log.Write(event.ServerRegistered, zap.String("Server", entry.ID), zap.String("Service", entry.Service), zap.String("Address", entry.Address),
+		zap.Bool("Draining", entry.Draining), zap.Int("Models", len(entry.Models)), zap.Int("Revision", object.Version))
+	e.board.SetServer(entry)
+	e.steward.SetServer(entry)
+	e.wakeWaiters()
+}
+
+// settle removes an entry that has not come back.
+func (f *serverFollower) settle(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.missing[id] {
+		f.remove(id)
+	}
+}
+
+func (f *serverFollower) remove(id string) {
+	delete(f.missing, id)
+	e := f.entry
+	e.cfg.Log.Write(event.ServerGone, zap.String("Server", id))
+	e.board.RemoveServer(id)
+	e.steward.RemoveServer(id)
+	e.dropPool(id)
+}
+
+// dropPool closes the idle connections to a backend server that is gone.
+func (e *Entry) dropPool(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, p := range e.pools {
+		if len(key) > len(id) && key[:len(id)] == id && key[len(id)] == '|' {
+			p.Close()
+			delete(e.pools, key)
+		}
+	}
+}
+
+// recordBook is what is known of the instances' records in the store.
+type recordBook struct {
+	mu       sync.Mutex
+	records  map[string]wire.EntryRecord
+	versions map[string]int
+	listed   bool
+}
+
+func (b *recordBook) init() {
+	b.records = map[string]wire.EntryRecord{}
+	b.versions = map[string]int{}
+}
+
+func (e *Entry) followRecords() {
+	objectstore.Follow(e.ctx, objectstore.FollowConfig{
+		Store: e.cfg.Store("Records", _entryWait),
+		Kind:  _recordKind,
+		Changed: func(object wire.Object) {
+			e.records.mu.Lock()
+			defer e.records.mu.Unlock()
+			var r wire.EntryRecord
+			if object.Value == "" || json.Unmarshal([]byte(object.Value), &r) != nil {
+				delete(e.records.records, object.Name)
+				delete(e.records.versions, object.Name)
+
+				return
+			}
+			e.records.records[object.Name] = r
+			e.records.versions[object.Name] = object.Version
+		},
+		Current: func(int) {
+			e.takeRecords()
+			e.keepRecord()
+		},
+		Log: e.cfg.Log,
+	})
+}
+
+func (e *Entry) takeRecords() {
+	e.records.mu.Lock()
+	e.records.listed = true
+	records := make([]wire.EntryRecord, 0, len(e.records.records))
+	for _, r := range e.records.records {
+		records = append(records, r)
+	}
+	e.records.mu.Unlock()
+	e.hub.SetRecords(records)
+	n := len(records)
+	e.board.SetInstances(n)
+	e.book.SetInstances(n, time.Now())
+}
+
+// keepRecord writes this instance's record if the store holds another or none,
+// and removes those of instances that have been silent for long.
+func (e *Entry) keepRecord() {
+	if e.leaving.Load() {
+		return
+	}
+	s := e.cfg.Settings
+	mine := wire.EntryRecord{
+		Name:          s.Name,
+		Start:         e.start,
+		Address:       s.PeerAddress,
+		CallerAddress: s.CallerAddress,
+		FailureDomain: s.FailureDomain,
+	}
+	e.records.mu.Lock()
+	listed, held, version := e.records.listed, e.records.records[s.Name], e.records.versions[s.Name]
+	e.records.mu.Unlock()
+	if !listed || held == mine {
+		e.pruneRecords()
+
+		return
+	}
+	value, err := json.Marshal(mine)
+	if err != nil {
+		e.cfg.Log.Write(event.RecordFailed, zap.Error(err))
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, _recordTimeout)
+	defer cancel()
+	version, err = e.cfg.Store("Records", 0).Put(ctx, _recordKind, s.Name, string(value), version)
+	if err != nil {
+		// The watch brings the record's version; the next look tries again.
+		e.cfg.Log.Write(event.RecordFailed, zap.Error(err))
+
+		return
+	}
+	e.records.mu.Lock()
+	e.records.records[s.Name] = mine
+	e.records.versions[s.Name] = version
+	e.records.mu.Unlock()
+}
+
+// pruneRecords lets the steward remove the records of lost instances.
+func (e *Entry) pruneRecords() {
+	if _, held := e.lease.Held(); !held {
+		return
+	}
+	for _, i := range e.hub.Instances() {
+		silent := i.Silent
+		if silent < 0 {
+			silent = timer.Elapsed() - e.began
+		}
+		if !i.InStore || i.Alive || silent < _recordSilence {
+			continue
+		}
+		e.records.mu.Lock()
+		version := e.records.versions[i.Name]
+		e.records.mu.Unlock()
+		e.deleteRecord(i.Name, version)
+	}
+}
+
+func (e *Entry) removeRecord() {
+	name := e.cfg.Settings.Name
+	e.records.mu.Lock()
+	version := e.records.versions[name]
+	e.records.mu.Unlock()
+	e.deleteRecord(name, version)
+}
+
+func (e *Entry) deleteRecord(name string, version int) {
+	if version == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), _recordTimeout)
+	defer cancel()
+	if err := e.cfg.Store("Records", 0).Delete(ctx, _recordKind, name, version); err != nil {
+		e.cfg.Log.Write(event.RecordFailed, zap.String("Name", name), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/entry/locate.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"papayastair.dev/papayastair/hop"
+)
+
+const (
+	// _locateTTL is how long callers keep an address: short, so that they
+	// leave an instance that stops, and no shorter than a few bulletins.
+	_locateTTL = time.Second
+	// _maxAddresses bounds an answer.
+	_maxAddresses = 64
+	_jsonType     = "application/json"
+)
+
+// ttl is how long callers may keep an answer.
+func (e *Entry) ttl() time.Duration {
+	return min(_locateTTL, e.cfg.Settings.Bounds.LocateTTL)
+}
+
+// isReady says whether callers should come here: the configuration is known
+// and the instance stays.
+func (e *Entry) isReady() bool {
+	return e.current.Load() != nil && !e.leaving.Load()
+}
+
+func (e *Entry) handleReady(r *hop.Request) {
+	switch {
+	case r.Head.Path() != e.cfg.Dialect.ReadyPath:
+		r.Answer(404, nil, nil)
+	case e.isReady():
+		r.Answer(200, nil, nil)
+	default:
+		r.Answer(503, nil, nil)
+	}
+}
+
+// handleLocate tells a caller where to connect: to all instances that are
+// heard and stay, those in its failure domain if there are enough.
+func (e *Entry) handleLocate(r *hop.Request) {
+	d := e.cfg.Dialect
+	if r.Head.Path() != d.LocatePath {
+		r.Answer(404, nil, nil)
+
+		return
+	}
+	addresses := e.addresses(d.DecodeLocate(r.Head))
+	if len(addresses) == 0 {
+		r.Answer(503, nil, nil)
+
+		return
+	}
+	r.Answer(200, []hop.Field{{
+		Name:  "Content-Type",
+		Value: _jsonType,
+	}}, d.EncodeLocate(addresses, e.ttl()))
+}
+
+// addresses are the instances that a caller should use. An instance that
+// hears no other names itself and, as a last resort, all in the store.
+func (e *Entry) addresses(_ LocateQuestion) []string {
+	var alive, recorded []string
+	if e.isReady() {
+		alive = append(alive, e.cfg.Settings.CallerAddress)
+	}
+	for _, i := range e.hub.Instances() {
+		switch {
+		case i.Alive && !i.Leaving:
+			alive = append(alive, i.CallerAddress)
+		case i.InStore && !i.Leaving:
+			recorded = append(recorded, i.CallerAddress)
+		}
+	}
+	if len(alive) == 0 {
+		alive = recorded
+	}
+	if len(alive) == 0 && e.current.Load() != nil {
+		alive = append(alive, e.cfg.Settings.CallerAddress)
+	}
+	if len(alive) > _maxAddresses {
+		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+		alive = alive[:_maxAddresses]
+	}
+
+	return alive
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,46 @@
+package entry
+
+import "time"
+
+// Settings are a process's own settings, from the platform.
+type Settings struct {
+	// Name is the instance's name, and FailureDomain and Region where it runs.
+	Name          string
+	FailureDomain string
+	Region        string
+	// CallerAddress, ReadyAddress and LocateAddress are IP:ports to serve.
+	CallerAddress string
+	ReadyAddress  string
+	LocateAddress string
+	// PeerAddress is the IP:port for bulletins.
+	PeerAddress string
+	// StoreAddress is the IP:port of the platform's store.
+	StoreAddress string
+	// Cores is how many processors may be used at once, and MemoryMB the
+	// memory over which the process is ended.
+	Cores    int
+	MemoryMB int
+	// Bounds are what the platform holds the process to.
+	Bounds Bounds
+}
+
+// Bounds are the times and numbers that the platform holds the system to.
+type Bounds struct {
+	// Apply is within which a configuration must be in force.
+	Apply time.Duration
+	// Revoke is within which a withdrawn key must not work any more.
+	Revoke time.Duration
+	// Grace is the time between the request to stop and the end.
+	Grace time.Duration
+	// LocateTTL is the longest time that callers may keep an address.
+	LocateTTL time.Duration
+	// Turn is the shortest time between orders of two holders.
+	Turn time.Duration
+	// EntryReturn is how long after an outage of the store backend servers'
+	// entries may still be missing.
+	EntryReturn time.Duration
+	// Retry bounds repeats at backend servers.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
--- a/event/event.go
+++ b/event/event.go
@@ -6,6 +6,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -26,7 +27,8 @@
 
 // Log writes events. The zero value writes nothing.
 type Log struct {
-	zap *zap.Logger
+	zap  *zap.Logger
+	stop func() error
 }
 
 // Open returns a log that appends JSON lines to a file, or to standard error
@@ -58,6 +60,35 @@
 	return &Log{zap: logger}, nil
 }
 
+const (
+	// _streamBuffer bounds the lines that wait to be written.
+	_streamBuffer = 128 << 10
+	// _streamFlush is how late a line may be.
+	_streamFlush = 500 * time.Millisecond
+)
+
+// OpenStream returns a log that writes JSON lines to w through a bounded
+// buffer, so that a line costs no call of the system.
+func OpenStream(w zapcore.WriteSyncer, instance string) *Log {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "Time"
+	cfg.LevelKey = "Level"
+	cfg.MessageKey = "Event"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.MillisDurationEncoder
+	out := &zapcore.BufferedWriteSyncer{
+		WS:            w,
+		Size:          _streamBuffer,
+		FlushInterval: _streamFlush,
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel)
+
+	return &Log{
+		zap:  zap.New(core).With(zap.String("Instance", instance)),
+		stop: out.Stop,
+	}
+}
+
 // Write writes one event with its fields, whose keys are in Pascal case.
 func (l *Log) Write(kind *Kind, fields ...zap.Field) {
 	if l == nil || l.zap == nil {
@@ -77,6 +108,9 @@
 	}
 	// Sync of a terminal fails on some systems; there is nothing to do about it.
 	_ = l.zap.Sync()
+	if l.stop != nil {
+		_ = l.stop()
+	}
 }
 
 // catalogue holds all kinds, in the order of the ranges.
--- /dev/null
+++ b/hop/server.go
@@ -0,0 +1,499 @@
+package hop
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"papayastair.dev/papayastair/site"
+)
+
+const (
+	_callerBuffer = 4 << 10
+	// _writeTimeout ends an answer that a caller doesn't read.
+	_writeTimeout = 10 * time.Second
+	// _lingerTimeout is how long a closing connection is read, so that the
+	// answer isn't lost to a reset.
+	_lingerTimeout = time.Second
+	_lingerBytes   = 256 << 10
+)
+
+// ServerConfig is what a Server works with.
+type ServerConfig struct {
+	// Listener brings the connections.
+	Listener net.Listener
+	// Limits are those in force; read again for each request.
+	Limits func() site.Limits
+	// Handle answers a request, in a goroutine of its own. One that returns
+	// without an answer has its connection closed.
+	Handle func(r *Request)
+	// Refused is told of each request that was refused as malformed or too
+	// large, with the status it got. It may be nil.
+	Refused func(status int, err error)
+}
+
+// Server reads requests from callers. Use Serve.
+type Server struct {
+	cfg     ServerConfig
+	closing atomic.Bool
+	mu      sync.Mutex
+	conns   map[*callerConn]struct{}
+	busy    atomic.Int64
+	wg      conc.WaitGroup
+}
+
+// Serve accepts connections until Close.
+func Serve(cfg ServerConfig) *Server {
+	s := &Server{
+		cfg:   cfg,
+		conns: map[*callerConn]struct{}{},
+	}
+	s.wg.Go(s.accept)
+
+	return s
+}
+
+// Busy is how many requests wait for their answers.
+func (s *Server) Busy() int {
+	return int(s.busy.Load())
+}
+
+// Connections is how many connections are open.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.conns)
+}
+
+// Drain lets each answer from now on close its connection. New connections
+// are still served.
+func (s *Server) Drain() {
+	s.closing.Store(true)
+}
+
+// Close ends all connections and waits for them.
+func (s *Server) Close() {
+	_ = s.cfg.Listener.Close()
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.nc.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) accept() {
+	const pause = 20 * time.Millisecond
+	for {
+		nc, err := s.cfg.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of descriptors, or the peer was gone already.
+			time.Sleep(pause)
+
+			continue
+		}
+		c := &callerConn{
+			server: s,
+			nc:     nc,
+		}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Go(c.serve)
+	}
+}
+
+// callerConn is one caller's connection. Its goroutine reads; each request is
+// answered by another one, so that a caller's leaving is seen at once.
+type callerConn struct {
+	server *Server
+	nc     net.Conn
+	br     *bufio.Reader
+}
+
+func (c *callerConn) serve() {
+	defer func() {
+		_ = c.nc.Close()
+		c.server.mu.Lock()
+		delete(c.server.conns, c)
+		c.server.mu.Unlock()
+	}()
+	_ = GuardSilence(c.nc)
+	c.br = bufio.NewReaderSize(c.nc, _callerBuffer)
+	for c.serveOne() {
+	}
+}
+
+// serveOne reads and answers one request, and says whether another may come.
+func (c *callerConn) serveOne() bool {
+	limits := c.server.cfg.Limits()
+	if c.br.Buffered() == 0 {
+		_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		if _, err := c.br.Peek(1); err != nil {
+			return false
+		}
+	}
+	r, err := c.read(limits)
+	if err != nil {
+		c.refuse(err)
+
+		return false
+	}
+	c.server.busy.Add(1)
+	_ = c.nc.SetReadDeadline(time.Time{})
+	go func() {
+		defer r.finish(limits.IdleTimeout)
+		c.server.cfg.Handle(r)
+	}()
+	if !c.awaitNext(r) || r.broken {
+		return false
+	}
+	if r.closing {
+		c.linger()
+
+		return false
+	}
+
+	return true
+}
+
+// awaitNext waits until the answer is out and either the next request has
+// begun or the connection's idle time is over; then it says false.
+func (c *callerConn) awaitNext(r *Request) bool {
+	for {
+		_, err := c.br.Peek(c.br.Buffered() + 1)
+		switch {
+		case err == nil:
+			if r.isDoneOrWakes() {
+				return true
+			}
+			// More bytes came early; go on watching for the caller's leaving.
+		case errors.Is(err, bufio.ErrBufferFull):
+			<-r.done
+
+			return true
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			<-r.done
+
+			return r.closing || c.br.Buffered() > 0
+		default:
+			r.leave()
+			<-r.done
+
+			return false
+		}
+	}
+}
+
+// linger closes the sending side and reads on for a while.
+func (c *callerConn) linger() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(_lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.br, _lingerBytes)
+}
+
+// read reads a whole request.
+func (c *callerConn) read(limits site.Limits) (*Request, error) {
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	text, err := readHead(c.br, limits.HeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	arrived := time.Now()
+	head, err := parseRequest(text)
+	if err != nil {
+		return nil, err
+	}
+	f, err := head.framing()
+	if err != nil {
+		return nil, err
+	}
+	if f.length > limits.BodyBytes {
+		return nil, ErrBodyTooLarge
+	}
+	b := newBody(c.br, f)
+	if !b.done && c.br.Buffered() == 0 && HasToken(head.Value("Expect"), "100-continue") {
+		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return nil, err
+		}
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	content, err := b.readAll(limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+
+	return &Request{
+		Head:    head,
+		Body:    content,
+		Framed:  f.chunked || f.length >= 0,
+		Arrived: arrived,
+		conn:    c,
+		left:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}, nil
+}
+
+// refuse answers a request that could not be read. Nothing of it was passed on.
+func (c *callerConn) refuse(err error) {
+	status := StatusOf(err)
+	if status == 0 {
+		return
+	}
+	if c.server.cfg.Refused != nil {
+		c.server.cfg.Refused(status, err)
+	}
+	r := &Request{
+		Head:    &Head{},
+		conn:    c,
+		closing: true,
+		left:    make(chan struct{}),
+	}
+	r.Answer(status, nil, nil)
+	c.linger()
+}
+
+// StatusOf is the answer to a request that failed to be read with err; 0 if
+// the caller has gone and there is nobody to answer.
+func StatusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrHeadTooLarge):
+		return 431
+	case errors.Is(err, ErrBodyTooLarge):
+		return 413
+	case errors.Is(err, ErrVersion):
+		return 505
+	case errors.Is(err, ErrMalformed):
+		return 400
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return 408
+	default:
+		return 0
+	}
+}
+
+// Request is one request of a caller, read whole.
+type Request struct {
+	// Head is the request's head, as it came.
+	Head *Head
+	// Body is the whole body.
+	Body []byte
+	// Framed says that the request declared a body, if only an empty one.
+	Framed bool
+	// Arrived is when the head had been read.
+	Arrived time.Time
+
+	conn     *callerConn
+	left     chan struct{}
+	done     chan struct{}
+	mu       sync.Mutex
+	gone     bool
+	finished bool
+	// wake says that the reader waits for more bytes behind an early one and
+	// must be woken when the answer is out.
+	wake     bool
+	onLeave  func()
+	out      []byte
+	answered bool
+	stream   bool
+	ended    bool
+	closing  bool
+	broken   bool
+}
+
+// Left is closed when the caller has closed its connection.
+func (r *Request) Left() <-chan struct{} {
+	return r.left
+}
+
+// OnLeave sets what is called, once, when the caller leaves; at once if it
+// has left. nil takes it back: after that it is not called any more. fn must
+// not call the request.
+func (r *Request) OnLeave(fn func()) {
+	r.mu.Lock()
+	gone := r.gone
+	r.onLeave = fn
+	r.mu.Unlock()
+	if gone && fn != nil {
+		fn()
+	}
+}
+
+func (r *Request) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gone {
+		return
+	}
+	r.gone = true
+	close(r.left)
+	if r.onLeave != nil {
+		r.onLeave()
+	}
+}
+
+// HasLeft says whether the caller has closed its connection.
+func (r *Request) HasLeft() bool {
+	select {
+	case <-r.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// Answer sends a whole answer.
+func (r *Request) Answer(status int, fields []Field, body []byte) {
+	r.answered = true
+	r.ended = true
+	r.head(status, "", fields)
+	if status >= 200 && status != 204 && status != 304 {
+		r.out = append(r.out, "Content-Length: "...)
+		r.out = strconv.AppendInt(r.out, int64(len(body)), 10)
+		r.out = append(r.out, "\r\n"...)
+	}
+	r.out = append(r.out, "\r\n"...)
+	if r.Head.Method != "HEAD" {
+		r.out = append(r.out, body...)
+	}
+	r.flush()
+}
+
+// Begin starts an answer whose body follows in pieces. It goes out with the
+// first of them.
+func (r *Request) Begin(status int, reason string, fields []Field) {
+	r.answered = true
+	r.stream = true
+	r.head(status, reason, fields)
+	r.out = append(r.out, "Transfer-Encoding: chunked\r\n\r\n"...)
+}
+
+// Piece sends a piece of the body and says whether the caller still reads.
+func (r *Request) Piece(p []byte) bool {
+	if len(p) > 0 {
+		r.out = strconv.AppendInt(r.out, int64(len(p)), 16)
+		r.out = append(r.out, "\r\n"...)
+		r.out = append(r.out, p...)
+		r.out = append(r.out, "\r\n"...)
+	}
+
+	return r.flush()
+}
+
+// End ends the body after its last piece, which may be empty.
+func (r *Request) End(last []byte) {
+	r.ended = true
+	if len(last) > 0 {
+		r.out = strconv.AppendInt(r.out, int64(len(last)), 16)
+		r.out = append(r.out, "\r\n"...)
+		r.out = append(r.out, last...)
+		r.out = append(r.out, "\r\n"...)
+	}
+	r.out = append(r.out, "0\r\n\r\n"...)
+	r.flush()
+}
+
+// Begun says that the head of an answer is on its way or decided.
+func (r *Request) Begun() bool {
+	return r.answered
+}
+
+// Cut closes the connection, so that the caller sees that the answer is not
+// complete, or that there is none.
+func (r *Request) Cut() {
+	r.ended = true
+	r.broken = true
+	_ = r.conn.nc.Close()
+}
+
+// CloseAfter lets the answer close the connection.
+func (r *Request) CloseAfter() {
+	r.closing = true
+}
+
+func (r *Request) head(status int, reason string, fields []Field) {
+	if r.conn.server.closing.Load() {
+		r.closing = true
+	}
+	if reason == "" {
+		reason = reasonOf(status)
+	}
+	r.out = append(r.out[:0], _version...)
+	r.out = append(r.out, ' ')
+	r.out = strconv.AppendInt(r.out, int64(status), 10)
+	r.out = append(r.out, ' ')
+	r.out = append(r.out, reason...)
+	r.out = append(r.out, "\r\n"...)
+	for _, f := range fields {
+		r.out = appendField(r.out, f.Name, f.Value)
+	}
+	if r.closing {
+		r.out = append(r.out, "Connection: close\r\n"...)
+	}
+}
+
+func (r *Request) flush() bool {
+	if len(r.out) == 0 || r.broken {
+		return !r.broken
+	}
+	_ = r.conn.nc.SetWriteDeadline(time.Now().Add(_writeTimeout))
+	_, err := r.conn.nc.Write(r.out)
+	r.out = r.out[:0]
+	if err != nil {
+		r.Cut()
+	}
+
+	return err == nil
+}
+
+// isDoneOrWakes says whether the answer is out; if not, the reader will be
+// woken when it is.
+func (r *Request) isDoneOrWakes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wake = !r.finished
+
+	return r.finished
+}
+
+// finish closes the connection of a request without a complete answer, and
+// lets the reader go on: at once if it must act, else when its idle time is
+// over. The read deadline is set under the lock, so that it is never set after
+// the reader has gone on.
+func (r *Request) finish(idle time.Duration) {
+	r.conn.server.busy.Add(-1)
+	if !r.ended {
+		r.Cut()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := time.Now()
+	if !r.wake && !r.closing {
+		next = next.Add(idle)
+	}
+	_ = r.conn.nc.SetReadDeadline(next)
+	r.finished = true
+	close(r.done)
+}
+
+func appendField(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, value...)
+
+	return append(out, "\r\n"...)
+}
--- /dev/null
+++ b/hop/silence.go
@@ -0,0 +1,66 @@
+package hop
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// _userTimeout ends a connection whose peer acknowledges nothing. A peer
+	// behind a cut is out of reach of any rule after a few seconds.
+	_userTimeout = 3 * time.Second
+	_probeIdle   = 2 * time.Second
+	_probeEvery  = time.Second
+	_probeCount  = 2
+)
+
+// GuardSilence lets the kernel end a connection whose peer has gone silent
+// without a reset.
+func GuardSilence(nc net.Conn) error {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	keep := net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     _probeIdle,
+		Interval: _probeEvery,
+		Count:    _probeCount,
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(_userTimeout.Milliseconds()))
+	})
+
+	return errors.Join(err, set, tcp.SetKeepAliveConfig(keep))
+}
+
+// isQuiet says that an idle connection is open and has nothing to read: the
+// peer has neither closed it nor sent bytes that belong to no request.
+func isQuiet(nc net.Conn) bool {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+
+		return true
+	})
+
+	return err == nil && quiet
+}
--- a/membership/carrier.go
+++ b/membership/carrier.go
@@ -7,8 +7,8 @@
 
 	"github.com/sourcegraph/conc"
 
-	"papayastair.dev/papayastair/peer"
 	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/peer"
 	"papayastair.dev/papayastair/wire"
 )
 
--- a/order/lease.go
+++ b/order/lease.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/wire"
 )
 
--- a/order/manager.go
+++ b/order/manager.go
@@ -17,8 +17,8 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"papayastair.dev/papayastair/event"
-	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
 )
--- a/order/schedule_test.go
+++ b/order/schedule_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/placement"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
--- /dev/null
+++ b/steward/lease.go
@@ -0,0 +1,271 @@
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/wire"
+)
+
+// Kind and Name are the lease's object in the store.
+const (
+	Kind = "papayastair-steward"
+	Name = "orders"
+)
+
+const (
+	// _renewEvery and _callTimeout leave room for two failed renewals within
+	// _leaseHold.
+	_renewEvery  = 700 * time.Millisecond
+	_callTimeout = 600 * time.Millisecond
+	// _leaseHold is how long after asking for a renewal orders may be given.
+	_leaseHold = 2500 * time.Millisecond
+	// _orderMargin is how long an order may be on its way.
+	_orderMargin = 200 * time.Millisecond
+	// _holderSilence is after how long without a word of the holder another
+	// instance looks at the lease.
+	_holderSilence = 1500 * time.Millisecond
+	_lookEvery     = 500 * time.Millisecond
+	_takeMargin    = 300 * time.Millisecond
+)
+
+// LeaseConfig is what a Lease works with.
+type LeaseConfig struct {
+	// Store is the way to the lease's object.
+	Store objectstore.Store
+	// Name and Start identify this process. A holder is an instance by name:
+	// after a restart it may go on at once.
+	Name  string
+	Start int
+	// Turn is the shortest time between the last order of one holder and the
+	// first of the next.
+	Turn time.Duration
+	// Elapsed is the clock that counts pauses.
+	Elapsed func() time.Duration
+	// Log takes the events.
+	Log *event.Log
+}
+
+// Lease says whether this instance is the steward. Step does its work.
+type Lease struct {
+	cfg LeaseConfig
+
+	mu       sync.Mutex
+	held     bool
+	fence    int
+	version  int
+	sequence int
+	validTo  time.Duration
+	// notBefore is when the first order may be given.
+	notBefore time.Duration
+	heard     time.Duration
+	// seen is the lease as another holds it, since when it has not changed.
+	seen      int
+	seenSince time.Duration
+}
+
+// NewLease returns a lease that is not held.
+func NewLease(cfg LeaseConfig) *Lease {
+	return &Lease{
+		cfg:   cfg,
+		heard: cfg.Elapsed(),
+	}
+}
+
+// MayOrder says whether an order may leave now, and with which fencing number.
+// It is asked just before each order is sent.
+func (l *Lease) MayOrder() (fence int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Elapsed()
+
+	return l.fence, l.held && now >= l.notBefore && now < l.validTo-_orderMargin
+}
+
+// Held says whether this instance is the steward, as far as it knows.
+func (l *Lease) Held() (fence int, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.fence, l.held && l.cfg.Elapsed() < l.validTo
+}
+
+// HolderHeard notes that another instance says it is the steward.
+func (l *Lease) HolderHeard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = l.cfg.Elapsed()
+}
+
+// Step renews the lease, or takes it if its holder is gone. It returns the
+// time until the next step.
+func (l *Lease) Step(ctx context.Context) time.Duration {
+	l.mu.Lock()
+	held := l.held
+	silence := l.cfg.Elapsed() - l.heard
+	l.mu.Unlock()
+	if held {
+		l.renew(ctx)
+
+		return _renewEvery
+	}
+	if silence >= _holderSilence {
+		l.look(ctx)
+	}
+
+	return _lookEvery
+}
+
+// Release lets another instance take the lease at once.
+func (l *Lease) Release(ctx context.Context) {
+	l.mu.Lock()
+	held, version := l.held, l.version
+	l.held = false
+	l.mu.Unlock()
+	if held {
+		// Not released, the lease runs out by itself.
+		_, err := l.put(ctx, version, true)
+		l.logLost("Released", err)
+	}
+}
+
+func (l *Lease) renew(ctx context.Context) {
+	asked := l.cfg.Elapsed()
+	l.mu.Lock()
+	version := l.version
+	l.mu.Unlock()
+	next, err := l.put(ctx, version, false)
+	if err == nil {
+		l.mu.Lock()
+		l.version = next
+		l.validTo = asked + _leaseHold
+		l.mu.Unlock()
+
+		return
+	}
+	l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Renew"), zap.Error(err))
+	switch objectstore.CodeOf(err) {
+	case objectstore.CodeConflict, objectstore.CodeUnknown, objectstore.CodeNotFound:
+		l.settle(ctx)
+	case objectstore.CodeNotRun, objectstore.CodeGone:
+	}
+}
+
+// settle reads the lease after a renewal of unknown outcome: it is still this
+// process's, at another version, or another's.
+func (l *Lease) settle(ctx context.Context) {
+	object, lease, err := l.get(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case objectstore.CodeOf(err) == objectstore.CodeNotFound:
+	case err != nil:
+		return
+	case lease.Holder == l.cfg.Name && lease.Start == l.cfg.Start && !lease.Released:
+		l.version = object.Version
+
+		return
+	}
+	l.held = false
+	l.logLost("Taken by "+lease.Holder, nil)
+}
+
+// look takes the lease if there is none, if it was released, if a former
+// start of this instance holds it, or if it has not changed for so long that
+// its holder's last order is a turn ago.
+func (l *Lease) look(ctx context.Context) {
+	object, lease, err := l.get(ctx)
+	if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
+		return
+	}
+	now := l.cfg.Elapsed()
+	wait := time.Duration(0)
+	switch {
+	case err != nil:
+	case lease.Holder == l.cfg.Name:
+	case lease.Released:
+		wait = l.cfg.Turn + _takeMargin
+	case l.unchanged(object.Version, now):
+	default:
+		return
+	}
+	version, err := l.put(ctx, object.Version, false)
+	if err != nil {
+		l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Take"), zap.Error(err))
+
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = true
+	l.version = version
+	l.fence = version
+	l.validTo = now + _leaseHold
+	l.notBefore = now + wait
+	l.cfg.Log.Write(event.StewardTaken, zap.Int("Fence", version), zap.String("Former", lease.Holder), zap.Duration("Wait", wait))
+}
+
+// unchanged says whether the lease has stayed at one version for so long that
+// its holder can give no order any more, and a turn longer.
+func (l *Lease) unchanged(version int, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen != version {
+		l.seen = version
+		l.seenSince = now
+
+		return false
+	}
+
+	return now-l.seenSince >= _leaseHold+l.cfg.Turn+_takeMargin
+}
+
+func (l *Lease) get(ctx context.Context) (wire.Object, wire.StewardLease, error) {
+	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
+	defer cancel()
+	var lease wire.StewardLease
+	object, err := l.cfg.Store.Get(ctx, Kind, Name)
+	if err != nil {
+		if objectstore.CodeOf(err) != objectstore.CodeNotFound {
+			l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Read"), zap.Error(err))
+		}
+
+		return wire.Object{}, lease, err
+	}
+	if err := json.Unmarshal([]byte(object.Value), &lease); err != nil {
+		// Only instances write it; one that can't be read is replaced.
+		l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Decode"), zap.Error(err))
+	}
+
+	return object, lease, nil
+}
+
+func (l *Lease) put(ctx context.Context, version int, released bool) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
+	defer cancel()
+	l.mu.Lock()
+	l.sequence++
+	lease := wire.StewardLease{
+		Holder:   l.cfg.Name,
+		Start:    l.cfg.Start,
+		Sequence: l.sequence,
+		Released: released,
+	}
+	l.mu.Unlock()
+	value, err := json.Marshal(lease)
+	if err != nil {
+		return 0, err
+	}
+
+	return l.cfg.Store.Put(ctx, Kind, Name, string(value), version)
+}
+
+func (l *Lease) logLost(why string, err error) {
+	l.cfg.Log.Write(event.StewardLost, zap.String("Why", why), zap.Int("Fence", l.fence), zap.Error(err))
+}
--- /dev/null
+++ b/steward/plan.go
@@ -0,0 +1,272 @@
+package steward
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"papayastair.dev/papayastair/site"
+)
+
+const (
+	// _copyFill is how full a copy's engine may be by its own requests, as a
+	// part of the slots, before another copy is wanted.
+	_copyFill = 0.3
+	// _liveCopies is the number of copies wanted of a model that urgent
+	// requests have asked for lately, so that the loss of one is borne.
+	_liveCopies = 3
+	// _liveMemory is how long a model counts as asked for.
+	_liveMemory = 20 * time.Second
+	// _demandMemory smooths the number of requests downwards, so that a pause
+	// of a second or two costs no copy.
+	_demandMemory = 0.9
+)
+
+// Want is what callers ask of one model, over all instances.
+type Want struct {
+	// Requests is how many run or wait at present.
+	Requests float64
+	// PerSecond is the rate of requests.
+	PerSecond float64
+	// Urgent says that requests of urgent ranks ask for it.
+	Urgent bool
+}
+
+// demand remembers what was asked of a model.
+type demand struct {
+	requests float64
+	urgentAt time.Time
+	askedAt  time.Time
+	seen     bool
+}
+
+func (d *demand) take(w Want, now time.Time) {
+	d.requests = max(w.Requests, d.requests*_demandMemory)
+	if w.Requests > 0 || w.PerSecond > 0 {
+		d.askedAt = now
+		d.seen = true
+		if w.Urgent {
+			d.urgentAt = now
+		}
+	}
+}
+
+// copies is how many copies are wanted.
+func (d *demand) copies(slots int, now time.Time) int {
+	n := int(math.Ceil(d.requests / (float64(max(slots, 1)) * _copyFill)))
+	switch {
+	case !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory:
+		return max(n, _liveCopies)
+	default:
+		return max(n, 1)
+	}
+}
+
+// step is one change of the models on one backend server.
+type step struct {
+	server *ledger
+	load   bool
+	model  string
+	reason string
+}
+
+// plan says what to change now: for the model that lacks copies most, a load
+// where there is room, else an unload that makes room. A model's last copy is
+// never unloaded, nor one that is wanted itself.
+type planner struct {
+	engine  *site.Engine
+	servers []*ledger
+	demands map[string]*demand
+	now     time.Time
+	// mayCold says whether the rate of loads from the weight store has room.
+	mayCold bool
+}
+
+// lack is a model with fewer copies than wanted.
+type lack struct {
+	model  string
+	copies int
+	wanted int
+	weight float64
+}
+
+func (p *planner) next() (step, bool) {
+	copies := p.copies()
+	for _, l := range p.lacks(copies) {
+		if s, ok := p.loadFor(l); ok {
+			return s, true
+		}
+		if s, ok := p.makeRoom(l, copies); ok {
+			return s, true
+		}
+	}
+
+	return step{}, false
+}
+
+// copies counts the copies that serve or come, on servers that stay.
+func (p *planner) copies() map[string]int {
+	copies := map[string]int{}
+	for _, s := range p.servers {
+		if s.entry.Draining {
+			continue
+		}
+		for model := range s.adapters {
+			if s.serves(model) {
+				copies[model]++
+			}
+		}
+		if s.loading != "" && !s.serves(s.loading) {
+			copies[s.loading]++
+		}
+	}
+
+	return copies
+}
+
+// lacks orders the models that want copies: those with none and asked for
+// first, then by how much they lack.
+func (p *planner) lacks(copies map[string]int) []lack {
+	var out []lack
+	for _, model := range slices.Sorted(maps.Keys(p.engine.Models)) {
+		d := p.demand(model)
+		l := lack{
+			model:  model,
+			copies: copies[model],
+			wanted: min(d.copies(p.engine.Slots, p.now), len(p.servers)),
+		}
+		if l.copies >= l.wanted {
+			continue
+		}
+		l.weight = d.requests / float64(l.copies+1)
+		if l.copies == 0 {
+			l.weight += 1000
+			if !d.seen {
+				l.weight -= 500
+			}
+		}
+		out = append(out, l)
+	}
+	slices.SortStableFunc(out, func(a, b lack) int { return cmp.Compare(b.weight, a.weight) })
+
+	return out
+}
+
+func (p *planner) demand(model string) *demand {
+	d := p.demands[model]
+	if d == nil {
+		d = &demand{}
+		p.demands[model] = d
+	}
+
+	return d
+}
+
+// free says whether a server can take an order on models.
+func (p *planner) free(s *ledger) bool {
+	return s.known && !s.entry.Draining && !s.busy() && !s.working && !p.now.Before(s.pause)
+}
+
+// loadFor finds the server with room for a model, one with its weights at
+// hand first, then the emptiest.
+func (p *planner) loadFor(l lack) (step, bool) {
+	var best *ledger
+	bestScore := math.Inf(-1)
+	for _, s := range p.servers {
+		if !p.free(s) || s.serves(l.model) || s.freeMB(p.engine) < p.engine.Models[l.model].WeightsMB {
+			continue
+		}
+		if !s.atHand[l.model] && !p.mayCold {
+			continue
+		}
+		score := s.freeMB(p.engine) / p.engine.WeightsMB
+		if s.atHand[l.model] {
+			score += 10
+		}
+		score -= p.inDomain(l.model, s.entry.FailureDomain)
+		if score > bestScore {
+			best = s
+			bestScore = score
+		}
+	}
+	if best == nil {
+		return step{}, false
+	}
+
+	return step{
+		server: best,
+		load:   true,
+		model:  l.model,
+		reason: "Demand",
+	}, true
+}
+
+// inDomain counts the copies of a model in a failure domain.
+func (p *planner) inDomain(model, domain string) float64 {
+	n := 0.0
+	for _, s := range p.servers {
+		if s.entry.FailureDomain == domain && s.serves(model) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// makeRoom finds the copy that is missed least on a server where its going
+// gives room for the model.
+func (p *planner) makeRoom(l lack, copies map[string]int) (step, bool) {
+	var best step
+	bestCost := math.Inf(1)
+	need := p.engine.Models[l.model].WeightsMB
+	for _, s := range p.servers {
+		if !p.free(s) || s.serves(l.model) || !s.atHand[l.model] && !p.mayCold {
+			continue
+		}
+		for victim := range s.adapters {
+			if s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
+				continue
+			}
+			cost, ok := p.cost(victim, l, copies)
+			if !ok {
+				continue
+			}
+			if !s.atHand[l.model] {
+				cost += 5
+			}
+			if cost < bestCost || cost == bestCost && s.entry.ID < best.server.entry.ID {
+				bestCost = cost
+				best = step{
+					server: s,
+					model:  victim,
+					reason: "RoomFor " + l.model,
+				}
+			}
+		}
+	}
+
+	return best, best.server != nil
+}
+
+// cost is how much a copy would be missed; ok is false if it must stay.
+func (p *planner) cost(victim string, l lack, copies map[string]int) (float64, bool) {
+	d := p.demand(victim)
+	wanted := d.copies(p.engine.Slots, p.now)
+	spare := copies[victim] - wanted
+	if copies[victim] <= 1 {
+		return 0, false
+	}
+	if spare <= 0 {
+		// A wanted copy yields only to a model that lacks far more.
+		mine := d.requests / float64(copies[victim])
+		if l.copies > 0 && l.weight < 2*mine+2 {
+			return 0, false
+		}
+
+		return 100 + mine, true
+	}
+
+	return d.requests/float64(copies[victim]) - float64(spare), true
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,517 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/site"
+	"papayastair.dev/papayastair/wire"
+)
+
+const (
+	_tick = 100 * time.Millisecond
+	// _orderTimeout is how long an order waits for its answer.
+	_orderTimeout  = 500 * time.Millisecond
+	_reportTimeout = 400 * time.Millisecond
+	// _reportLag is how old a report may be, with a margin.
+	_reportLag = 350 * time.Millisecond
+	// _pollEvery is the time between reports of a backend server whose order
+	// is due.
+	_pollEvery = 150 * time.Millisecond
+	// _refusedPause is how long a backend server that refused an order is left
+	// alone.
+	_refusedPause = 400 * time.Millisecond
+	// _adapterLoad is how long an adapter is on its way after its order was
+	// accepted.
+	_adapterLoad = 12 * time.Millisecond
+	// _needMemory is how long a target that was waited for is still loaded.
+	_needMemory = time.Second
+	// _loadBurst is how many loads from the weight store may begin together.
+	_loadBurst = 2.0
+	// _stepsPerTick bounds the orders on models that one tick begins.
+	_stepsPerTick = 6
+)
+
+// Order is one order to a backend server.
+type Order struct {
+	// Load says that the target is to be loaded, else it is unloaded.
+	Load bool
+	// Target is the model or adapter.
+	Target site.Target
+	// Expect is the number of orders that the backend server must have
+	// accepted before this one.
+	Expect int
+	// Holder and Fence identify the steward.
+	Holder string
+	Fence  int
+}
+
+// Result is the outcome of an order.
+type Result string
+
+// Results of orders.
+const (
+	// ResultAccepted means that the order is being carried out.
+	ResultAccepted Result = "Accepted"
+	// ResultHolds means that it held already or was done at once.
+	ResultHolds Result = "Holds"
+	// ResultConflict means that another order is in progress, or that another
+	// number of orders has been accepted.
+	ResultConflict Result = "Conflict"
+	// ResultRefused means that the backend server will not carry it out.
+	ResultRefused Result = "Refused"
+	// ResultUnknown means that it may be carried out, also later.
+	ResultUnknown Result = "Unknown"
+	// ResultNotSent means that it never left.
+	ResultNotSent Result = "NotSent"
+)
+
+// Config is what a Steward works with.
+type Config struct {
+	// Lease says whether this instance gives the orders.
+	Lease *Lease
+	// Holder is this instance's name in orders.
+	Holder string
+	// Engine is the engine of a service, nil if it has none.
+	Engine func(service string) *site.Engine
+	// Give sends an order.
+	Give func(ctx context.Context, server site.BackendServer, o Order) (Result, error)
+	// Report reads a backend server's report.
+	Report func(ctx context.Context, server site.BackendServer) (site.Report, error)
+	// Changed is called when what is held has changed.
+	Changed func()
+	// Log takes the events.
+	Log *event.Log
+}
+
+// need is a target that requests wait for.
+type need struct {
+	service string
+	at      time.Time
+}
+
+// Steward gives the orders while it holds the lease. Use New.
+type Steward struct {
+	cfg     Config
+	mu      sync.Mutex
+	active  bool
+	servers map[string]*ledger
+	demands map[string]map[string]*demand
+	needs   map[site.Target]need
+	loads   float64
+	loadsAt time.Time
+	wake    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      conc.WaitGroup
+}
+
+// New starts a steward.
+func New(cfg Config) *Steward {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Steward{
+		cfg:     cfg,
+		servers: map[string]*ledger{},
+		demands: map[string]map[string]*demand{},
+		needs:   map[site.Target]need{},
+		wake:    make(chan struct{}, 1),
+		ctx:     ctx,
+		stop:    cancel,
+	}
+	s.wg.Go(s.holdLease)
+	s.wg.Go(s.run)
+
+	return s
+}
+
+// Close releases the lease and waits.
+func (s *Steward) Close() {
+	s.stop()
+	s.wg.Wait()
+	s.cfg.Lease.Release(context.Background())
+}
+
+// SetServer takes a backend server's entry, new or changed.
+func (s *Steward) SetServer(entry site.BackendServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.servers[entry.ID]
+	if l == nil || l.entry.Born != entry.Born {
+		l = newLedger(entry)
+		s.servers[entry.ID] = l
+	}
+	l.entry = entry
+}
+
+// RemoveServer forgets a backend server.
+func (s *Steward) RemoveServer(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, id)
+}
+
+// SetDemand takes what all instances' callers ask for, by service and target.
+func (s *Steward) SetDemand(asked map[string]map[site.Target]Want, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, targets := range asked {
+		models := map[string]Want{}
+		for t, w := range targets {
+			sum := models[t.Model]
+			sum.Requests += w.Requests
+			sum.PerSecond += w.PerSecond
+			sum.Urgent = sum.Urgent || w.Urgent
+			models[t.Model] = sum
+			if t.Adapter == "" || w.Requests == 0 && w.PerSecond == 0 {
+				continue
+			}
+			for _, l := range s.servers {
+				if l.entry.Service == service && l.holds(t) {
+					l.used[t] = now
+				}
+			}
+		}
+		known := s.demands[service]
+		if known == nil {
+			known = map[string]*demand{}
+			s.demands[service] = known
+		}
+		for model, w := range models {
+			if known[model] == nil {
+				known[model] = &demand{}
+			}
+			known[model].take(w, now)
+		}
+		for model, d := range known {
+			if _, asked := models[model]; !asked {
+				d.take(Want{}, now)
+			}
+		}
+	}
+}
+
+// Need asks for a target that requests wait for.
+func (s *Steward) Need(service string, t site.Target, now time.Time) {
+	s.mu.Lock()
+	s.needs[t] = need{
+		service: service,
+		at:      now,
+	}
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Held is what all backend servers hold, while this instance is the steward
+// and knows it.
+func (s *Steward) Held() (fence int, held []wire.ServerTargets, ok bool) {
+	fence, ok = s.cfg.Lease.Held()
+	if !ok {
+		return 0, nil, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.servers {
+		if l.known {
+			held = append(held, wire.ServerTargets{
+				Server:  id,
+				Targets: l.targets(),
+			})
+		}
+	}
+	slices.SortFunc(held, func(a, b wire.ServerTargets) int { return strings.Compare(a.Server, b.Server) })
+
+	return fence, held, true
+}
+
+func (s *Steward) holdLease() {
+	for s.ctx.Err() == nil {
+		wait := s.cfg.Lease.Step(s.ctx)
+		select {
+		case <-s.ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *Steward) run() {
+	ticker := time.NewTicker(_tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.act(time.Now())
+	}
+}
+
+// act begins what is to be done now.
+func (s *Steward) act(now time.Time) {
+	_, may := s.cfg.Lease.MayOrder()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if may != s.active {
+		s.active = may
+		s.loads = 0
+		s.loadsAt = now
+		// Another holder may have given orders since.
+		for _, l := range s.servers {
+			l.known = false
+			l.loading = ""
+			l.unloading = ""
+		}
+	}
+	if !may {
+		return
+	}
+	services := map[string][]*ledger{}
+	for _, l := range s.servers {
+		e := s.cfg.Engine(l.entry.Service)
+		if e == nil {
+			continue
+		}
+		services[l.entry.Service] = append(services[l.entry.Service], l)
+		if !l.working && (!l.known && !now.Before(l.pause) || l.busy() && !now.Before(l.due)) {
+			s.begin(l, s.readReport)
+		}
+	}
+	for service, servers := range services {
+		slices.SortFunc(servers, func(a, b *ledger) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+		e := s.cfg.Engine(service)
+		s.placeAdapters(service, e, servers, now)
+		s.placeModels(service, e, servers, now)
+	}
+}
+
+// begin runs fn for a backend server in a goroutine of its own; one at a time.
+func (s *Steward) begin(l *ledger, fn func(l *ledger)) {
+	l.working = true
+	s.wg.Go(func() {
+		fn(l)
+		s.mu.Lock()
+		l.working = false
+		s.mu.Unlock()
+	})
+}
+
+// placeAdapters begins the loads of adapters that are waited for.
+func (s *Steward) placeAdapters(service string, e *site.Engine, servers []*ledger, now time.Time) {
+	steps := map[*ledger][]adapterStep{}
+	taken := map[*ledger]int{}
+	for t, n := range s.needs {
+		if now.Sub(n.at) > _needMemory {
+			delete(s.needs, t)
+
+			continue
+		}
+		if n.service != service || t.Adapter == "" || e.Models[t.Model].Name == "" {
+			continue
+		}
+		if slices.ContainsFunc(servers, func(l *ledger) bool { return !l.entry.Draining && l.known && l.holds(t) }) {
+			delete(s.needs, t)
+
+			continue
+		}
+		st, reason := placeAdapter(servers, e, t, taken, now)
+		if st.server == nil {
+			s.cfg.Log.Write(event.StewardNoRoom, zap.Stringer("Target", t), zap.String("Reason", reason))
+
+			continue
+		}
+		taken[st.server]++
+		steps[st.server] = append(steps[st.server], st)
+		delete(s.needs, t)
+	}
+	for l, list := range steps {
+		s.begin(l, func(l *ledger) {
+			for _, st := range list {
+				s.loadAdapter(l, st)
+			}
+			s.cfg.Changed()
+		})
+	}
+}
+
+// loadAdapter gives the orders for one adapter.
+func (s *Steward) loadAdapter(l *ledger, st adapterStep) {
+	if st.evict.Model != "" {
+		s.setAdapter(l, st.evict, false)
+		if s.give(l, false, st.evict, "RoomFor "+st.target.String()) != ResultHolds {
+			// It may still be there, and counts until a report shows otherwise.
+			s.setAdapter(l, st.evict, true)
+			s.doubt(l)
+
+			return
+		}
+	}
+	switch s.give(l, true, st.target, "Needed") {
+	case ResultAccepted:
+		time.Sleep(_adapterLoad)
+		s.setAdapter(l, st.target, true)
+	case ResultHolds:
+		s.setAdapter(l, st.target, true)
+	case ResultConflict, ResultRefused, ResultUnknown:
+		s.doubt(l)
+	case ResultNotSent:
+	}
+}
+
+func (s *Steward) setAdapter(l *ledger, t site.Target, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	adapters := l.adapters[t.Model]
+	if adapters == nil {
+		return
+	}
+	if held {
+		adapters[t.Adapter] = true
+		l.used[t] = time.Now()
+	} else {
+		delete(adapters, t.Adapter)
+	}
+}
+
+// doubt lets the next report decide what the backend server holds. Until then
+// nothing is ordered.
+func (s *Steward) doubt(l *ledger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.known = false
+	l.pause = time.Now().Add(_refusedPause)
+}
+
+// placeModels begins the changes of models that demand asks for.
+func (s *Steward) placeModels(service string, e *site.Engine, servers []*ledger, now time.Time) {
+	s.loads = min(s.loads+e.LoadsPerSecond*now.Sub(s.loadsAt).Seconds(), _loadBurst)
+	s.loadsAt = now
+	if s.demands[service] == nil {
+		s.demands[service] = map[string]*demand{}
+	}
+	for range _stepsPerTick {
+		p := planner{
+			engine:  e,
+			servers: servers,
+			demands: s.demands[service],
+			now:     now,
+			mayCold: s.loads >= 1,
+		}
+		st, ok := p.next()
+		if !ok {
+			return
+		}
+		l := st.server
+		target := site.Target{Model: st.model}
+		if st.load {
+			m := e.Models[st.model]
+			expected := m.ColdLoad
+			if l.atHand[st.model] {
+				expected = max(m.DiskLoad, m.WarmLoad)
+			} else {
+				s.loads--
+			}
+			l.loading = st.model
+			l.due = now.Add(expected)
+		} else {
+			l.unloading = st.model
+			l.due = now.Add(_reportLag)
+		}
+		s.begin(l, func(l *ledger) { s.changeModel(l, target, st) })
+	}
+}
+
+// changeModel gives the order for one model.
+func (s *Steward) changeModel(l *ledger, t site.Target, st step) {
+	result := s.give(l, st.load, t, st.reason)
+	s.mu.Lock()
+	switch result {
+	case ResultAccepted:
+	case ResultHolds, ResultConflict, ResultRefused, ResultUnknown:
+		l.known = false
+		l.pause = time.Now().Add(_refusedPause)
+	case ResultNotSent:
+		l.loading = ""
+		l.unloading = ""
+		l.pause = time.Now().Add(_refusedPause)
+	}
+	s.mu.Unlock()
+	s.cfg.Changed()
+}
+
+// give sends one order, if the lease allows it at that moment.
+func (s *Steward) give(l *ledger, load bool, t site.Target, reason string) Result {
+	s.mu.Lock()
+	entry := l.entry
+	expect := l.orders
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, _orderTimeout)
+	defer cancel()
+	fence, may := s.cfg.Lease.MayOrder()
+	result := ResultNotSent
+	var err error
+	if may {
+		result, err = s.cfg.Give(ctx, entry, Order{
+			Load:   load,
+			Target: t,
+			Expect: expect,
+			Holder: s.cfg.Holder,
+			Fence:  fence,
+		})
+	}
+	// A load that was held already is not counted as an order there.
+	if result == ResultAccepted || result == ResultHolds && !load {
+		s.mu.Lock()
+		l.orders = expect + 1
+		s.mu.Unlock()
+	}
+	s.cfg.Log.Write(event.StewardOrder, zap.String("Server", entry.ID), zap.Bool("Load", load), zap.Stringer("Target", t),
+		zap.Int("Expect", expect), zap.Int("Fence", fence), zap.String("Reason", reason), zap.String("Result", string(result)), zap.Error(err))
+
+	return result
+}
+
+// readReport brings the ledger in line with the backend server.
+func (s *Steward) readReport(l *ledger) {
+	s.mu.Lock()
+	entry := l.entry
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, _reportTimeout)
+	defer cancel()
+	r, err := s.cfg.Report(ctx, entry)
+	s.mu.Lock()
+	now := time.Now()
+	l.pause = now.Add(_pollEvery)
+	l.due = now.Add(_pollEvery)
+	switch {
+	case err != nil:
+		s.cfg.Log.Write(event.StewardReport, zap.String("Server", entry.ID), zap.Error(err))
+	case r.Born != 0 && entry.Born != 0 && r.Born != entry.Born:
+		// Another start than the entry's; the next entry will tell.
+		s.cfg.Log.Write(event.StewardReport, zap.String("Server", entry.ID), zap.Int64("Born", r.Born))
+	case r.Orders < l.orders && l.known:
+		// From before the last order.
+	default:
+		wasBusy := l.busy()
+		l.take(r)
+		if !wasBusy || !l.busy() {
+			s.cfg.Log.Write(event.StewardObserved, zap.String("Server", entry.ID), zap.Strings("Targets", l.targets()), zap.Int("Orders", r.Orders), zap.Bool("Busy", r.Busy))
+		}
+		if r.Busy && !l.busy() {
+			// An order of a former steward is under way; what it is isn't told.
+			l.known = false
+		}
+	}
+	s.mu.Unlock()
+	s.cfg.Changed()
+}
