Follow limits by a common bucket, pace backend servers, steady the planner

Changes: each instance keeps a copy of the common bucket and takes the others' spending from it; copies stay 6 s and only surplus ones yield; a backend server's load is weighed by its answers' pace against what is usual; entries that change together are read together.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -1,15 +1,20 @@
 // Package allowance keeps each workspace within its rate and burst over all
-// instances together, without a message on the path of a request. Each
-// instance has a part of each workspace's rate and burst; the parts follow
-// where the workspace's callers ask, as the instances tell each other, and
-// their sum never exceeds the whole while all know of each other.
+// instances together, without a message on the path of a request.
 //
-//	a.SetWorkspaces(workspaces, now)
-//	a.SetAsked("instance-2", map[string]float64{...}, now)
-//	if wait, ok := a.Take("wording", tokens, now); !ok { refuse, come back after wait }
+// Each instance keeps its own copy of each workspace's bucket and takes from
+// it what it admits and what the others say they have admitted, a fraction of
+// a second later. While the bucket is well filled, a request is admitted
+// wherever it comes. When it runs low, each instance may spend only its part
+// of the rate, which follows where the workspace's callers ask. An instance
+// that is not heard is taken to spend its last part.
+//
+//	b.SetWorkspaces(workspaces, now)
+//	b.Heard("instance-2", start, told, now)
+//	if d := b.Take("wording", tokens, now); !d.OK { refuse, come back after d.Wait }
 package allowance
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -22,59 +27,128 @@
 	_evenPart = 0.25
 	// _askedMemory is the time over which the asked rate is averaged.
 	_askedMemory = time.Second
-	// _peerMemory is how long the demand of a silent instance is still counted:
-	// it may serve on by its last part.
-	_peerMemory = 8 * time.Second
+	// _heardFor is how long an instance counts as heard: a few bulletins.
+	_heardFor = time.Second
+	// _unseen is how much of the others' spending isn't known yet: the time
+	// between two bulletins, and a margin.
+	_unseen = 300 * time.Millisecond
+	// _partBurst is the part of an instance's burst that it may save up while
+	// the common bucket is low.
+	_partBurst = 0.3
+	// _fullBucket is the part of the burst that counts as full: a larger cost
+	// passes then.
+	_fullBucket = 0.6
+	// _slackShare and _overShare are the parts of the slack that are used; the
+	// rest covers what instances don't know of each other for a moment.
+	_slackShare = 0.75
+	_overShare  = 0.3
 	// _minWait and _maxWait bound the time after which a refused caller is
 	// told to come back.
 	_minWait = 100 * time.Millisecond
 	_maxWait = 2 * time.Second
 )
 
-// Book holds this instance's parts. Use New.
+// Slack is what the platform allows beyond a limit, and what is therefore
+// divided among the instances as room for requests that come in lumps.
+type Slack struct {
+	// Tokens is a number of tokens per window, over all instances.
+	Tokens float64
+	// Over is a part of the limit.
+	Over float64
+}
+
+// Told is what an instance tells of one workspace.
+type Told struct {
+	// Asked is the recent rate that was asked for.
+	Asked float64
+	// Spent is all that was admitted since the instance's start.
+	Spent float64
+}
+
+// Decision is the outcome of Take, with what decided it.
+type Decision struct {
+	// OK says that the cost was spent.
+	OK bool
+	// Wait is the time after which a repeat may succeed.
+	Wait time.Duration
+	// Level is the common bucket, Own what this instance may spend of its
+	// part, Rate the workspace's whole rate per second and Part this
+	// instance's part of it.
+	Level float64
+	Own   float64
+	Rate  float64
+	Part  float64
+}
+
+// Book is this instance's view of all buckets. Use New.
 type Book struct {
 	mu         sync.Mutex
-	instances  int
+	slack      Slack
 	workspaces map[string]*account
-	peers      map[string]peerAsked
+	peers      map[string]*peer
 }
 
-type peerAsked struct {
-	at    time.Time
-	asked map[string]float64
+// peer is another instance.
+type peer struct {
+	known bool
+	start int
+	heard time.Time
+	told  map[string]Told
 }
 
-// account is one workspace's bucket at this instance.
+// account is one workspace's bucket.
 type account struct {
-	rate   float64
-	burst  float64
-	part   float64
-	tokens float64
-	at     time.Time
+	rate  float64
+	burst float64
+	// at is when level and own were last filled.
+	at    time.Time
+	level float64
+	own   float64
+	// part is this instance's part of the rate, heard the part of all that are
+	// heard, this one included, and othersAsked the rate asked of the others.
+	part        float64
+	heard       float64
+	othersAsked float64
+	// room is this instance's part of the slack.
+	room   float64
+	spent  float64
 	asked  float64
 	recent float64
 	rolled time.Time
 }
 
 // New returns an empty book.
-func New() *Book {
+func New(slack Slack) *Book {
 	return &Book{
-		instances:  1,
+		slack:      slack,
 		workspaces: map[string]*account{},
-		peers:      map[string]peerAsked{},
+		peers:      map[string]*peer{},
 	}
 }
 
-// SetInstances tells how many instances share the limits.
-func (b *Book) SetInstances(n int, now time.Time) {
+// SetPeers names the other instances that may be running.
+func (b *Book) SetPeers(names []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.instances = max(n, 1)
+	for _, p := range b.peers {
+		p.known = false
+	}
+	for _, name := range names {
+		if b.peers[name] == nil {
+			b.peers[name] = &peer{}
+		}
+		b.peers[name].known = true
+	}
+	for name, p := range b.peers {
+		if !p.known && now.Sub(p.heard) > _heardFor {
+			delete(b.peers, name)
+		}
+	}
 	b.divide(now)
 }
 
 // SetWorkspaces takes the limits in force. A workspace that was known keeps
-// its tokens, but never more than its new burst.
+// its tokens, but never more than its new burst; a new one begins without any.
 func (b *Book) SetWorkspaces(workspaces []site.Workspace, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -90,8 +164,8 @@
 			}
 			b.workspaces[w.Name] = a
 		}
-		a.refill(now)
-		a.rate = w.RatePerSecond
+		a.fill(now)
+		a.rate = w.RatePerSecond * (1 + b.slack.Over*_overShare)
 		a.burst = w.Burst
 	}
 	for name := range b.workspaces {
@@ -102,26 +176,49 @@
 	b.divide(now)
 }
 
-// SetAsked takes how much each workspace asks for at another instance.
-func (b *Book) SetAsked(instance string, asked map[string]float64, now time.Time) {
+// Heard takes what another instance tells.
+func (b *Book) Heard(name string, start int, told map[string]Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[instance] = peerAsked{
-		at:    now,
-		asked: asked,
+	p := b.peers[name]
+	if p == nil {
+		p = &peer{}
+		b.peers[name] = p
+	}
+	for workspace, t := range told {
+		a := b.workspaces[workspace]
+		if a == nil {
+			continue
+		}
+		before, ok := p.told[workspace]
+		switch {
+		case p.told == nil:
+			// What it spent before it was first heard isn't known to be recent.
+		case p.start != start || !ok:
+			a.level -= t.Spent
+		default:
+			a.level -= t.Spent - before.Spent
+		}
+		a.level = max(a.level, -a.burst)
 	}
+	p.start = start
+	p.heard = now
+	p.told = told
 	b.divide(now)
 }
 
-// Asked is how much each workspace asks for here, per second.
-func (b *Book) Asked(now time.Time) map[string]float64 {
+// Tell is what this instance tells the others.
+func (b *Book) Tell(now time.Time) map[string]Told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]float64, len(b.workspaces))
+	out := make(map[string]Told, len(b.workspaces))
 	for name, a := range b.workspaces {
 		a.roll(now)
-		if a.asked > 0 {
-			out[name] = a.asked
+		if a.asked > 0 || a.spent > 0 {
+			out[name] = Told{
+				Asked: a.asked,
+				Spent: a.spent,
+			}
 		}
 	}
 
@@ -129,26 +226,37 @@
 }
 
 // Take spends cost, or says after which time a repeat may succeed.
-func (b *Book) Take(workspace string, cost float64, now time.Time) (wait time.Duration, ok bool) {
+func (b *Book) Take(workspace string, cost float64, now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.workspaces[workspace]
 	if a == nil || a.rate <= 0 {
-		return 0, true
+		return Decision{OK: true}
 	}
 	a.roll(now)
 	a.recent += cost
-	a.refill(now)
-	// A cost over the whole part passes when the part is full.
-	need := min(cost, a.burst*a.part)
-	if a.tokens >= need {
-		a.tokens -= cost
+	a.fill(now)
+	need := min(cost, a.burst*a.heard*_fullBucket) + a.othersAsked*_unseen.Seconds()
+	needOwn := min(cost, a.most())
+	d := Decision{
+		OK:    a.level >= need || a.own >= needOwn,
+		Level: a.level,
+		Own:   a.own,
+		Rate:  a.rate,
+		Part:  a.part,
+	}
+	if d.OK {
+		a.spend(cost)
 
-		return 0, true
+		return d
+	}
+	seconds := min((need-a.level)/(a.rate*a.heard), (needOwn-a.own)/(a.rate*a.part))
+	if math.IsNaN(seconds) || seconds > _maxWait.Seconds() {
+		seconds = _maxWait.Seconds()
 	}
-	seconds := (need - a.tokens) / (a.rate * a.part)
+	d.Wait = max(time.Duration(seconds*float64(time.Second)), _minWait)
 
-	return min(max(time.Duration(seconds*float64(time.Second)), _minWait), _maxWait), false
+	return d
 }
 
 // Return gives back the cost of a request that has not run.
@@ -156,16 +264,32 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a := b.workspaces[workspace]; a != nil {
-		a.tokens = min(a.tokens+cost, a.burst*a.part)
+		a.spend(-cost)
 	}
 }
 
-func (a *account) refill(now time.Time) {
+func (a *account) spend(cost float64) {
+	a.level = min(max(a.level-cost, -a.burst), a.burst)
+	// What was spent from the common bucket is missed from the own part too,
+	// as far as a second's part.
+	a.own = min(max(a.own-cost, -a.rate*a.part), a.most())
+	a.spent += cost
+}
+
+// fill adds what the time since the last filling brings.
+func (a *account) fill(now time.Time) {
 	if passed := now.Sub(a.at).Seconds(); passed > 0 {
-		a.tokens += a.rate * a.part * passed
+		a.level += a.rate * a.heard * passed
+		a.own += a.rate * a.part * passed
 	}
 	a.at = now
-	a.tokens = min(a.tokens, a.burst*a.part)
+	a.level = min(a.level, a.burst*a.heard)
+	a.own = min(a.own, a.most())
+}
+
+// most is what this instance may save up of its part.
+func (a *account) most() float64 {
+	return a.burst*a.part*_partBurst + a.room
 }
 
 // roll averages the asked rate over whole periods.
@@ -180,28 +304,36 @@
 	a.rolled = now
 }
 
-// divide sets this instance's part of each limit from all instances' demand.
+// divide sets the parts of each limit from all instances' demand.
 func (b *Book) divide(now time.Time) {
-	for name, p := range b.peers {
-		if now.Sub(p.at) > _peerMemory {
-			delete(b.peers, name)
-		}
-	}
-	instances := float64(max(b.instances, len(b.peers)+1))
+	instances := float64(len(b.peers) + 1)
 	for name, a := range b.workspaces {
 		a.roll(now)
-		all := a.asked
+		a.fill(now)
+		all, others := a.asked, 0.0
 		for _, p := range b.peers {
-			all += p.asked[name]
+			all += p.told[name].Asked
+			if now.Sub(p.heard) <= _heardFor {
+				others += p.told[name].Asked
+			}
 		}
-		part := 1 / instances
-		if all > 0 {
-			part = _evenPart/instances + (1-_evenPart)*a.asked/all
+		part := func(asked float64) float64 {
+			if all <= 0 {
+				return 1 / instances
+			}
+
+			return _evenPart/instances + (1-_evenPart)*asked/all
 		}
-		a.refill(now)
-		if part < a.part {
-			a.tokens = min(a.tokens, a.burst*part)
+		a.heard = 1
+		for _, p := range b.peers {
+			if now.Sub(p.heard) > _heardFor {
+				a.heard -= part(p.told[name].Asked)
+			}
 		}
-		a.part = part
+		a.part = part(a.asked)
+		a.heard = max(a.heard, a.part)
+		a.othersAsked = others
+		a.room = b.slack.Tokens * _slackShare / instances
+		a.fill(now)
 	}
 }
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -27,7 +27,9 @@
 	// _domainBonus is what a backend server in the caller's failure domain
 	// is ahead by, in places.
 	_domainBonus = 0.7
-	_speedWeight = 0.2
+	// _baseLoad is what an empty backend server counts as, so that a slow one
+	// is left alone while faster ones have few requests.
+	_baseLoad = 2.0
 )
 
 // Ask is what a request needs.
@@ -83,7 +85,8 @@
 	missing map[string]time.Time
 	running int
 	health  health
-	speed   float64
+	// pace is how long it takes, as a multiple of what is usual.
+	pace float64
 }
 
 // peerLoad is what another instance runs.
@@ -101,7 +104,9 @@
 	peers    map[string]peerLoad
 	loads    map[string]int
 	budgets  map[string]*budget
-	limits   RetryLimits
+	// means are the usual paces of models and services.
+	means  map[string]float64
+	limits RetryLimits
 }
 
 // New returns an empty board. rng breaks ties.
@@ -113,6 +118,7 @@
 		peers:    map[string]peerLoad{},
 		loads:    map[string]int{},
 		budgets:  map[string]*budget{},
+		means:    map[string]float64{},
 		limits:   limits,
 	}
 }
@@ -128,6 +134,7 @@
 			running = s.running
 		}
 		s = &server{
+			pace:    1,
 			missing: map[string]time.Time{},
 			running: running,
 		}
@@ -291,7 +298,7 @@
 
 // score is the expected wait in places; the lower the better.
 func (b *Board) score(s *server, load int, ask Ask) float64 {
-	score := (float64(load) + 1) * (1 + _speedWeight*s.speed)
+	score := (float64(load) + _baseLoad) * s.pace
 	if s.entry.FailureDomain == ask.FailureDomain {
 		score -= _domainBonus
 	}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -21,9 +21,13 @@
 	_shareMemory   = 0.8
 	_shareMinimum  = 6
 	_maxAvoidShare = 0.5
-	// _slowMemory smooths the time to the first byte.
-	_slowMemory = 0.85
-	_slowUnit   = 100 * time.Millisecond
+	// _paceMemory smooths how fast a backend server is, and _meanMemory what is
+	// usual for a model or service.
+	_paceMemory = 0.8
+	_meanMemory = 0.95
+	// _paceLeast and _paceMost bound what one answer can say.
+	_paceLeast = 0.3
+	_paceMost  = 6.0
 )
 
 // Result is how a request at a backend server ended.
@@ -49,7 +53,9 @@
 type Run struct {
 	server *server
 	target string
-	ended  bool
+	// class is what its pace is compared with: the model, or the service.
+	class string
+	ended bool
 }
 
 // health is how a backend server has answered lately.
@@ -94,18 +100,25 @@
 func (b *Board) Begin(id string, target site.Target, now time.Time) *Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	run := &Run{target: target.String()}
+	run := &Run{
+		target: target.String(),
+		class:  target.Model,
+	}
 	if s := b.servers[id]; s != nil {
 		s.running++
 		run.server = s
+		if run.class == "" {
+			run.class = s.entry.Service
+		}
 	}
 
 	return run
 }
 
-// End takes a request's result. first is the time from its sending to the
-// first byte of its answer; 0 if there was none.
-func (b *Board) End(run *Run, result Result, first time.Duration, now time.Time) {
+// End takes a request's result. pace is how long a unit of its answer took:
+// the whole of a plain one, the time between two events of a stream; 0 if
+// unknown.
+func (b *Board) End(run *Run, result Result, pace time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := run.server
@@ -123,9 +136,20 @@
 		s.missing[run.target] = now
 	case ResultNotRun, ResultLeft:
 	}
-	if first > 0 {
-		s.speed = s.speed*_slowMemory + (1-_slowMemory)*float64(first)/float64(_slowUnit)
+	if pace > 0 {
+		b.learnPace(s, run.class, float64(pace))
+	}
+}
+
+// learnPace compares an answer's pace with what is usual.
+func (b *Board) learnPace(s *server, class string, pace float64) {
+	mean := b.means[class]
+	if mean == 0 {
+		mean = pace
 	}
+	b.means[class] = mean*_meanMemory + pace*(1-_meanMemory)
+	ratio := min(max(pace/mean, _paceLeast), _paceMost)
+	s.pace = s.pace*_paceMemory + ratio*(1-_paceMemory)
 }
 
 // Leave marks a backend server as leaving by its own word, ahead of its entry.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -37,6 +37,12 @@
 	run    *dispatch.Run
 	sentAt time.Time
 	first  time.Duration
+	// lastPiece is when the last event went on, and pause the longest time
+	// between two.
+	lastPiece  time.Time
+	firstPiece time.Time
+	pieces     int
+	pause      time.Duration
 }
 
 // try sends the request to one backend server and passes its answer on.
@@ -60,7 +66,7 @@
 		v = verdictDone
 		j.leave()
 	}
-	e.board.End(a.run, result, a.first, time.Now())
+	e.board.End(a.run, result, a.pace(), time.Now())
 	if v != verdictDone {
 		j.lastErr = err
 		e.cfg.Log.Write(event.AttemptFailed, append(j.logFields(), zap.String("At", choice.Server.ID), zap.Int("Load", choice.Load),
@@ -228,7 +234,7 @@
 	j.count("Served")
 	metrics.GetOrRegisterTimer("Entry.Latency."+j.route.Kind.String(), j.e.cfg.Registry).Update(total)
 	j.e.cfg.Log.Write(event.EntryServed, append(j.logFields(), zap.Int("Status", status), zap.Duration("First", a.sentAt.Sub(j.r.Arrived)+a.first),
-		zap.Int("Load", a.choice.Load), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.conn.Reused))...)
+		zap.Duration("Pause", a.pause), zap.Int("Load", a.choice.Load), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.conn.Reused))...)
 }
 
 // passEvents passes a stream on, event by event.
@@ -247,6 +253,7 @@
 					a.first = time.Since(a.sentAt)
 					a.beginEvents(head)
 				}
+				a.notePause()
 				if !j.r.Piece(whole) {
 					a.conn.Close()
 					j.leave()
@@ -276,6 +283,31 @@
 	}
 }
 
+// notePause keeps the longest pause between events.
+func (a *attempt) notePause() {
+	now := time.Now()
+	if a.pieces == 0 {
+		a.firstPiece = now
+	} else {
+		a.pause = max(a.pause, now.Sub(a.lastPiece))
+	}
+	a.pieces++
+	a.lastPiece = now
+}
+
+// pace is how long a unit of the answer took.
+func (a *attempt) pace() time.Duration {
+	const leastPieces = 3
+	switch {
+	case a.pieces >= leastPieces:
+		return a.lastPiece.Sub(a.firstPiece) / time.Duration(a.pieces-1)
+	case a.pieces == 0 && a.j.call.Target.Model == "":
+		return a.first
+	default:
+		return 0
+	}
+}
+
 // beginEvents begins the caller's answer, with the head of the first backend
 // server that had an event for it.
 func (a *attempt) beginEvents(head *hop.Head) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,10 @@
 			Window:    cfg.Settings.Bounds.RetryWindow,
 			Instances: 1,
 		}),
-		book:    allowance.New(),
+		book: allowance.New(allowance.Slack{
+			Tokens: cfg.Settings.Bounds.LimitSlack,
+			Over:   cfg.Settings.Bounds.LimitOver,
+		}),
 		demand:  newDemandCounter(),
 		pools:   map[string]*hop.Pool{},
 		needs:   map[string]time.Time{},
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,6 +20,10 @@
 	_evidenceWait = time.Second
 	// _entryWait is how long other watches wait.
 	_entryWait = 15 * time.Second
+	// _entryGather is the pause after changes of backend servers' entries,
+	// which come often while adapters move; a quarter of the time within which
+	// a leaving backend server must get no more requests.
+	_entryGather = 500 * time.Millisecond
 	// _keyMargin is how long before the bound on withdrawn keys requests with
 	// keys are refused: the time from the last check to the last byte sent.
 	_keyMargin = 700 * time.Millisecond
@@ -162,6 +166,7 @@
 		Store:   f.wrap(e.cfg.Store("Servers", _entryWait)),
 		Kind:    d.ServerKind,
 		Changed: f.changed,
+		Gather:  _entryGather,
 		Log:     e.cfg.Log,
 	})
 }
@@ -319,14 +324,17 @@
 	e.records.mu.Lock()
 	e.records.listed = true
 	records := make([]wire.EntryRecord, 0, len(e.records.records))
+	var others []string
 	for _, r := range e.records.records {
 		records = append(records, r)
+		if r.Name != e.cfg.Settings.Name {
+			others = append(others, r.Name)
+		}
 	}
 	e.records.mu.Unlock()
 	e.hub.SetRecords(records)
-	n := len(records)
-	e.board.SetInstances(n)
-	e.book.SetInstances(n, time.Now())
+	e.board.SetInstances(len(records))
+	e.book.SetPeers(others, time.Now())
 }
 
 // keepRecord writes this instance's record if the store holds another or none,
--- a/entry/request.go
+++ b/entry/request.go
@@ -50,6 +50,8 @@
 	// sent is how many backend servers it was passed on to.
 	sent    int
 	exclude []string
+	// waited says that the request found no place once.
+	waited  bool
 	events  hop.Events
 	lastErr error
 	server  string
@@ -73,7 +75,7 @@
 }
 
 // refuse answers that the request has not run.
-func (j *job) refuse(status int, reason string, retry time.Duration) {
+func (j *job) refuse(status int, reason string, retry time.Duration, inputs ...zap.Field) {
 	var fields []hop.Field
 	if retry > 0 {
 		fields = append(fields, hop.Field{
@@ -87,8 +89,8 @@
 	})
 	j.r.Answer(status, fields, j.e.cfg.Dialect.EncodeRefusal(reason))
 	j.count("Refused." + reason)
-	j.e.cfg.Log.Write(event.EntryRefused, append(j.logFields(), zap.Int("Status", status), zap.String("Reason", reason),
-		zap.Duration("RetryAfter", retry), j.e.loggedAge())...)
+	log := append(j.logFields(), zap.Int("Status", status), zap.String("Reason", reason), zap.Duration("RetryAfter", retry), j.e.loggedAge())
+	j.e.cfg.Log.Write(event.EntryRefused, append(log, inputs...)...)
 }
 
 // fail answers that the request ran or may have run.
@@ -116,7 +118,7 @@
 		fields = append(fields, zap.String("Route", j.route.Name), zap.Int("Version", j.cfg.Version))
 	}
 	if j.who != nil {
-		fields = append(fields, zap.String("Workspace", j.who.Name))
+		fields = append(fields, zap.String("Workspace", j.who.Name), zap.Float64("Tokens", j.cost))
 	}
 	if j.server != "" {
 		fields = append(fields, zap.String("Server", j.server))
@@ -177,8 +179,9 @@
 	}
 	if j.who != nil {
 		j.cost = costOf(j.who, j.call)
-		if wait, ok := e.book.Take(j.who.Name, j.cost, time.Now()); !ok {
-			j.refuse(429, "OverLimit", wait)
+		if d := e.book.Take(j.who.Name, j.cost, time.Now()); !d.OK {
+			j.refuse(429, "OverLimit", d.Wait, zap.Float64("Level", d.Level), zap.Float64("Own", d.Own),
+				zap.Float64("Rate", d.Rate), zap.Float64("Part", d.Part))
 
 			return false
 		}
@@ -336,7 +339,8 @@
 		if choice.Server != nil {
 			return choice, true
 		}
-		if j.call.Target.Model != "" {
+		if j.call.Target.Model != "" && !j.waited {
+			j.waited = true
 			e.demand.wait(j.demandKey())
 		}
 		if choice.Reason != dispatch.ReasonNoCopy || !now.Before(patience) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -39,6 +39,10 @@
 	// EntryReturn is how long after an outage of the store backend servers'
 	// entries may still be missing.
 	EntryReturn time.Duration
+	// LimitSlack and LimitOver are what a workspace may get beyond its limit in
+	// a window: a number in the limit's unit, and a part of the limit.
+	LimitSlack float64
+	LimitOver  float64
 	// Retry bounds repeats at backend servers.
 	RetryRatio  float64
 	RetrySlack  float64
--- a/entry/tell.go
+++ b/entry/tell.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"papayastair.dev/papayastair/allowance"
 	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/site"
 	"papayastair.dev/papayastair/steward"
@@ -20,6 +21,9 @@
 	_needMemory = 500 * time.Millisecond
 	// _peerMemory is how long the demand of a silent instance counts.
 	_peerMemory = 3 * time.Second
+	// _waitingWeight turns requests per second that found no place into
+	// requests at once: they would last about half a second.
+	_waitingWeight = 0.5
 	// _urgentRank is the last rank that counts as urgent.
 	_urgentRank = 1
 )
@@ -159,10 +163,11 @@
 			Count:  n,
 		})
 	}
-	for name, rate := range e.book.Asked(now) {
+	for name, t := range e.book.Tell(now) {
 		b.Asked = append(b.Asked, wire.WorkspaceRate{
 			Workspace: name,
-			PerSecond: rate,
+			PerSecond: t.Asked,
+			Spent:     t.Spent,
 		})
 	}
 	e.sumDemand(b.Demand, now)
@@ -184,11 +189,14 @@
 		counts[r.Server] = r.Count
 	}
 	e.board.SetPeer(b.Name, counts, now)
-	asked := make(map[string]float64, len(b.Asked))
+	told := make(map[string]allowance.Told, len(b.Asked))
 	for _, a := range b.Asked {
-		asked[a.Workspace] = a.PerSecond
+		told[a.Workspace] = allowance.Told{
+			Asked: a.PerSecond,
+			Spent: a.Spent,
+		}
 	}
-	e.book.SetAsked(b.Name, asked, now)
+	e.book.Heard(b.Name, b.Start, told, now)
 	e.mu.Lock()
 	e.asked[b.Name] = peerDemand{
 		at:     now,
@@ -239,7 +247,7 @@
 			}
 			t := parseTarget(d.Target)
 			w := targets[t]
-			w.Requests += float64(d.Running + d.Waiting)
+			w.Requests += float64(d.Running) + _waitingWeight*float64(d.Waiting)
 			w.PerSecond += d.PerSecond
 			w.Urgent = w.Urgent || d.Rank <= _urgentRank
 			targets[t] = w
--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,8 @@
 type Log struct {
 	zap  *zap.Logger
 	stop func() error
+	// brief leaves out the stack traces of errors.
+	brief bool
 }
 
 // Open returns a log that appends JSON lines to a file, or to standard error
@@ -84,8 +86,9 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel)
 
 	return &Log{
-		zap:  zap.New(core).With(zap.String("Instance", instance)),
-		stop: out.Stop,
+		zap:   zap.New(core).With(zap.String("Instance", instance)),
+		stop:  out.Stop,
+		brief: true,
 	}
 }
 
@@ -98,6 +101,13 @@
 	if entry == nil {
 		return
 	}
+	if l.brief {
+		for i, f := range fields {
+			if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+				fields[i] = zap.String("Error", err.Error())
+			}
+		}
+	}
 	entry.Write(append(fields, zap.Int("Number", kind.Number))...)
 }
 
--- a/steward/ledger.go
+++ b/steward/ledger.go
@@ -17,6 +17,8 @@
 	known bool
 	// adapters are the adapters held, by model; a model without any is in it.
 	adapters map[string]map[string]bool
+	// loadedAt is when each model was loaded by this steward.
+	loadedAt map[string]time.Time
 	// used is when each adapter was last asked for.
 	used map[site.Target]time.Time
 	// orders is the number of orders that the backend server has accepted.
@@ -38,6 +40,7 @@
 	return &ledger{
 		entry:    entry,
 		adapters: map[string]map[string]bool{},
+		loadedAt: map[string]time.Time{},
 		used:     map[site.Target]time.Time{},
 		atHand:   map[string]bool{},
 	}
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -13,15 +13,23 @@
 const (
 	// _copyFill is how full a copy's engine may be by its own requests, as a
 	// part of the slots, before another copy is wanted.
-	_copyFill = 0.3
+	_copyFill = 0.5
 	// _liveCopies is the number of copies wanted of a model that urgent
 	// requests have asked for lately, so that the loss of one is borne.
 	_liveCopies = 3
 	// _liveMemory is how long a model counts as asked for.
-	_liveMemory = 20 * time.Second
-	// _demandMemory smooths the number of requests downwards, so that a pause
-	// of a second or two costs no copy.
-	_demandMemory = 0.9
+	_liveMemory = time.Minute
+	// _demandRise and _demandFall smooth the number of requests, up within a
+	// second and down within some ten, at five counts a second: a copy takes
+	// seconds to come, and a pause must not cost one.
+	_demandRise = 0.3
+	_demandFall = 0.02
+	// _spareCopies is the number of copies that any model gets while memory
+	// is free.
+	_spareCopies = 2
+	// _stay is how long a copy stays at least, so that two models don't push
+	// each other out by turns.
+	_stay = 6 * time.Second
 )
 
 // Want is what callers ask of one model, over all instances.
@@ -43,7 +51,11 @@
 }
 
 func (d *demand) take(w Want, now time.Time) {
-	d.requests = max(w.Requests, d.requests*_demandMemory)
+	if w.Requests > d.requests {
+		d.requests += _demandRise * (w.Requests - d.requests)
+	} else {
+		d.requests += _demandFall * (w.Requests - d.requests)
+	}
 	if w.Requests > 0 || w.PerSecond > 0 {
 		d.askedAt = now
 		d.seen = true
@@ -103,6 +115,27 @@
 		}
 	}
 
+	return p.spare(copies)
+}
+
+// spare fills free memory with copies of the models that have fewest.
+func (p *planner) spare(copies map[string]int) (step, bool) {
+	if !p.mayCold {
+		return step{}, false
+	}
+	models := slices.Sorted(maps.Keys(p.engine.Models))
+	slices.SortStableFunc(models, func(a, b string) int { return cmp.Compare(copies[a], copies[b]) })
+	for _, model := range models {
+		if copies[model] >= _spareCopies {
+			continue
+		}
+		if s, ok := p.loadFor(lack{model: model}); ok {
+			s.reason = "Spare"
+
+			return s, true
+		}
+	}
+
 	return step{}, false
 }
 
@@ -226,7 +259,7 @@
 			continue
 		}
 		for victim := range s.adapters {
-			if s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
+			if p.now.Sub(s.loadedAt[victim]) < _stay || s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
 				continue
 			}
 			cost, ok := p.cost(victim, l, copies)
@@ -254,19 +287,16 @@
 func (p *planner) cost(victim string, l lack, copies map[string]int) (float64, bool) {
 	d := p.demand(victim)
 	wanted := d.copies(p.engine.Slots, p.now)
-	spare := copies[victim] - wanted
-	if copies[victim] <= 1 {
+	mine := d.requests / float64(copies[victim])
+	switch {
+	case copies[victim] <= 1:
 		return 0, false
-	}
-	if spare <= 0 {
-		// A wanted copy yields only to a model that lacks far more.
-		mine := d.requests / float64(copies[victim])
-		if l.copies > 0 && l.weight < 2*mine+2 {
-			return 0, false
-		}
-
+	case copies[victim] > wanted:
+		return mine - float64(copies[victim]-wanted), true
+	case l.copies == 0 && l.weight > mine:
+		// A model that can't be reached at all goes before one's second copy.
 		return 100 + mine, true
+	default:
+		return 0, false
 	}
-
-	return d.requests/float64(copies[victim]) - float64(spare), true
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -422,6 +422,7 @@
 				s.loads--
 			}
 			l.loading = st.model
+			l.loadedAt[st.model] = now
 			l.due = now.Add(expected)
 		} else {
 			l.unloading = st.model
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -145,6 +145,9 @@
 	// PerSecond is the recent rate in the unit of the workspace's limit.
 	PerSecond float64 `json:"PerSecond"`
 
+	// Spent is all that the workspace was admitted for since the sender's start.
+	Spent float64 `json:"Spent"`
+
 	// Workspace is the workspace's name.
 	Workspace string `json:"Workspace"`
 }
