Divide the giving of orders into three shards

Changes: backend servers are divided by a hash of their ids into three shards with a lease each; each steward wants its own part of the copies that the demand asks for, without a word between them; an adapter yields when none of its requests runs; a copy more is wanted from a fifth of the slots on. Ruled out: a shorter lease (the turn of 3 s stays).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -30,6 +32,13 @@
 	// _leaveMargin is how long before the platform ends a process that was
 	// told to stop it ends itself.
 	_leaveMargin = 400 * time.Millisecond
+	// _stewardShards is into how many parts the backend servers are divided for
+	// the giving of orders: the loss of one steward stops no more than its
+	// part, and each begins one load at a time without breaking the ceiling.
+	_stewardShards = 3
+	// _stewardStagger is between instances that look for a free lease.
+	_stewardStagger = 300 * time.Millisecond
+	_stewardMost    = 1500 * time.Millisecond
 	// _ttlsKept is for how many times its time to live callers may keep an
 	// answer to where they should go.
 	_ttlsKept = 3
@@ -61,7 +70,7 @@
 	book    *allowance.Book
 	demand  *demandCounter
 	hub     *exchange.Hub
-	lease   *steward.Lease
+	leases  []*steward.Lease
 	steward *steward.Steward
 	servers []*hop.Server
 
@@ -148,16 +157,20 @@
 	if err != nil {
 		return err
 	}
-	e.lease = steward.NewLease(steward.LeaseConfig{
-		Store:   e.cfg.Store("Steward", 0),
-		Name:    s.Name,
-		Start:   e.start,
-		Turn:    s.Bounds.Turn,
-		Elapsed: timer.Elapsed,
-		Log:     e.cfg.Log,
-	})
+	for shard := range _stewardShards {
+		e.leases = append(e.leases, steward.NewLease(steward.LeaseConfig{
+			Store:   e.cfg.Store("Steward", 0),
+			Object:  "orders-" + strconv.Itoa(shard),
+			Name:    s.Name,
+			Start:   e.start,
+			Turn:    s.Bounds.Turn,
+			Delay:   func() time.Duration { return e.stewardDelay(shard) },
+			Elapsed: timer.Elapsed,
+			Log:     e.cfg.Log,
+		}))
+	}
 	e.steward = steward.New(steward.Config{
-		Lease:   e.lease,
+		Leases:  e.leases,
 		Holder:  s.Name,
 		Engine:  e.engine,
 		Give:    e.cfg.Give,
@@ -293,6 +306,21 @@
 	return cfg.Services[service].Engine
 }
 
+// stewardDelay is how much later than the instance that comes first for a shard
+// this one looks at its lease, so that the shards spread over the instances.
+func (e *Entry) stewardDelay(shard int) time.Duration {
+	rank := func(name string) uint64 { return xxhash.Sum64String(strconv.Itoa(shard) + "|" + name) }
+	own := rank(e.cfg.Settings.Name)
+	before := 0
+	for _, i := range e.hub.Instances() {
+		if i.Alive && !i.Leaving && rank(i.Name) > own {
+			before++
+		}
+	}
+
+	return min(time.Duration(before)*_stewardStagger, _stewardMost)
+}
+
 // wakeWaiters lets requests that wait for a place look again.
 func (e *Entry) wakeWaiters() {
 	e.mu.Lock()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -380,9 +380,9 @@
 	e.records.mu.Unlock()
 }
 
-// pruneRecords lets the steward remove the records of lost instances.
+// pruneRecords lets the steward of the first shard remove the records of lost instances.
 func (e *Entry) pruneRecords() {
-	if _, held := e.lease.Held(); !held {
+	if _, held := e.leases[0].Held(); !held {
 		return
 	}
 	for _, i := range e.hub.Instances() {
--- a/entry/tell.go
+++ b/entry/tell.go
@@ -171,12 +171,8 @@
 		})
 	}
 	e.sumDemand(b.Demand, now)
-	if fence, held, ok := e.steward.Held(); ok {
-		b.Steward = true
-		b.Fence = fence
-		b.Held = held
-		e.takeHeld(held)
-	}
+	b.Shards, b.Held = e.steward.Held()
+	e.takeHeld(b.Held)
 
 	return b
 }
@@ -207,12 +203,13 @@
 		service, target := parseNeed(text)
 		e.steward.Need(service, target, now)
 	}
-	if b.Steward {
-		e.lease.HolderHeard()
-		if _, held := e.lease.Held(); !held {
-			e.takeHeld(b.Held)
+	for _, shard := range b.Shards {
+		if shard.Shard >= 0 && shard.Shard < len(e.leases) {
+			e.leases[shard.Shard].HolderHeard()
 		}
 	}
+	e.steward.SetForeign(b.Held, now)
+	e.takeHeld(b.Held)
 	cfg := e.current.Load()
 	if cfg != nil && b.Version == cfg.Version && b.EvidenceAgeMS >= 0 && notBefore > 0 {
 		// The bulletin was sent at notBefore or later, and the sender's
@@ -223,6 +220,9 @@
 
 // takeHeld takes the steward's word on what backend servers hold.
 func (e *Entry) takeHeld(held []wire.ServerTargets) {
+	if len(held) == 0 {
+		return
+	}
 	for _, h := range held {
 		e.board.SetTold(h.Server, h.Targets)
 	}
@@ -248,6 +248,7 @@
 			t := parseTarget(d.Target)
 			w := targets[t]
 			w.Requests += float64(d.Running) + _waitingWeight*float64(d.Waiting)
+			w.Running += d.Running
 			w.PerSecond += d.PerSecond
 			w.Urgent = w.Urgent || d.Rank <= _urgentRank
 			targets[t] = w
--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,8 +10,9 @@
 )
 
 const (
-	// _adapterIdle is how long an adapter must be unused to yield its place.
-	_adapterIdle = 700 * time.Millisecond
+	// _adapterIdle is how long an adapter must have no requests, here or on
+	// their way, to yield its place: longer than bulletins take.
+	_adapterIdle = 400 * time.Millisecond
 )
 
 // adapterStep is the loading of one adapter, with what yields to it.
@@ -21,52 +23,96 @@
 	evict site.Target
 }
 
-// placeAdapter finds where an adapter should be loaded: on a backend server
-// that holds its model and has a free place, by a hash of both so that the
-// same adapters stay together; else where the adapter that was unused for
-// longest yields.
-func placeAdapter(servers []*ledger, e *site.Engine, t site.Target, taken map[*ledger]int, now time.Time) (adapterStep, string) {
+// adapterSearch is what a place for an adapter is looked for in: the backend
+// servers of the shards that this instance orders, and those of others.
+type adapterSearch struct {
+	engine  *site.Engine
+	own     []*ledger
+	foreign []foreignServer
+	// taken counts the adapters that are about to be loaded.
+	taken map[*ledger]int
+	now   time.Time
+}
+
+// foreignServer is a backend server that another instance orders.
+type foreignServer struct {
+	id      string
+	targets map[string]bool
+}
+
+// place finds where an adapter should be loaded: on the backend server that
+// holds its model and comes first by a hash of both, so that the same adapters
+// stay together and all instances agree; one with a free place if there is
+// one, else one where an unused adapter can yield. If that is another's to
+// order, nothing is done here, unless patient is false.
+func (a *adapterSearch) place(t site.Target, patient bool) (adapterStep, string) {
 	var best, full *ledger
 	reason := "NoModel"
-	for _, s := range servers {
-		if !s.known || s.entry.Draining || !s.serves(t.Model) || s.adapters[t.Model][t.Adapter] {
+	for _, s := range a.own {
+		if !s.known || s.entry.Draining || !s.serves(t.Model) {
 			continue
 		}
 		reason = "Busy"
-		if s.busy() || s.working || now.Before(s.pause) {
+		if s.busy() || s.working || a.now.Before(s.pause) {
 			continue
 		}
-		if s.adapterCount()+taken[s] < e.AdapterPlaces {
-			if best == nil || adapterRank(s, t) > adapterRank(best, t) {
-				best = s
-			}
+		if s.adapterCount()+a.taken[s] < a.engine.AdapterPlaces {
+			best = ahead(best, s, t)
 
 			continue
 		}
-		if _, ok := s.leastUsed(now, _adapterIdle); ok && taken[s] == 0 &&
-			(full == nil || adapterRank(s, t) > adapterRank(full, t)) {
-			full = s
+		if _, ok := s.leastUsed(a.now, _adapterIdle); ok && a.taken[s] == 0 {
+			full = ahead(full, s, t)
 		}
 	}
-	switch {
-	case best != nil:
-		return adapterStep{
-			server: best,
-			target: t,
-		}, ""
-	case full != nil:
-		evict, _ := full.leastUsed(now, _adapterIdle)
+	st := adapterStep{
+		server: best,
+		target: t,
+	}
+	if best == nil && full != nil {
+		st.server = full
+		st.evict, _ = full.leastUsed(a.now, _adapterIdle)
+	}
+	if st.server == nil {
+		return st, reason
+	}
+	if patient && a.elsewhere(t, adapterRank(st.server.entry.ID, t), best != nil) {
+		return adapterStep{}, "Elsewhere"
+	}
+
+	return st, ""
+}
 
-		return adapterStep{
-			server: full,
-			target: t,
-			evict:  evict,
-		}, ""
-	default:
-		return adapterStep{}, reason
+// elsewhere says whether a backend server that another instance orders comes
+// before one found here with the rank; free says that the latter has a place.
+func (a *adapterSearch) elsewhere(t site.Target, rank uint64, free bool) bool {
+	for _, f := range a.foreign {
+		if !f.targets[t.Model] {
+			continue
+		}
+		adapters := 0
+		for text := range f.targets {
+			if strings.IndexByte(text, '/') > 0 {
+				adapters++
+			}
+		}
+		hasPlace := adapters < a.engine.AdapterPlaces
+		if hasPlace && !free || hasPlace == free && adapterRank(f.id, t) > rank {
+			return true
+		}
 	}
+
+	return false
+}
+
+func ahead(a, b *ledger, t site.Target) *ledger {
+	if a == nil || adapterRank(b.entry.ID, t) > adapterRank(a.entry.ID, t) {
+		return b
+	}
+
+	return a
 }
 
-func adapterRank(s *ledger, t site.Target) uint64 {
-	return xxhash.Sum64String(s.entry.ID + "|" + t.String())
+func adapterRank(server string, t site.Target) uint64 {
+	return xxhash.Sum64String(server + "|" + t.String())
 }
--- a/steward/lease.go
+++ b/steward/lease.go
@@ -13,19 +13,16 @@
 	"papayastair.dev/papayastair/wire"
 )
 
-// Kind and Name are the lease's object in the store.
-const (
-	Kind = "papayastair-steward"
-	Name = "orders"
-)
+// Kind is the kind of the leases' objects in the store.
+const Kind = "papayastair-steward"
 
 const (
 	// _renewEvery and _callTimeout leave room for two failed renewals within
 	// _leaseHold.
-	_renewEvery  = 700 * time.Millisecond
+	_renewEvery  = 800 * time.Millisecond
 	_callTimeout = 600 * time.Millisecond
 	// _leaseHold is how long after asking for a renewal orders may be given.
-	_leaseHold = 2500 * time.Millisecond
+	_leaseHold = 2600 * time.Millisecond
 	// _orderMargin is how long an order may be on its way.
 	_orderMargin = 200 * time.Millisecond
 	// _holderSilence is after how long without a word of the holder another
@@ -37,8 +34,12 @@
 
 // LeaseConfig is what a Lease works with.
 type LeaseConfig struct {
-	// Store is the way to the lease's object.
-	Store objectstore.Store
+	// Store is the way to the lease's object, and Object its name.
+	Store  objectstore.Store
+	Object string
+	// Delay is how much later than others this instance looks at a lease
+	// without a holder, so that not all try at once.
+	Delay func() time.Duration
 	// Name and Start identify this process. A holder is an instance by name:
 	// after a restart it may go on at once.
 	Name  string
@@ -74,7 +75,7 @@
 func NewLease(cfg LeaseConfig) *Lease {
 	return &Lease{
 		cfg:   cfg,
-		heard: cfg.Elapsed(),
+		heard: cfg.Elapsed() - _holderSilence,
 	}
 }
 
@@ -115,7 +116,7 @@
 
 		return _renewEvery
 	}
-	if silence >= _holderSilence {
+	if silence >= _holderSilence+l.cfg.Delay() {
 		l.look(ctx)
 	}
 
@@ -149,7 +150,7 @@
 
 		return
 	}
-	l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Renew"), zap.Error(err))
+	l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Renew"), zap.Error(err))
 	switch objectstore.CodeOf(err) {
 	case objectstore.CodeConflict, objectstore.CodeUnknown, objectstore.CodeNotFound:
 		l.settle(ctx)
@@ -197,7 +198,7 @@
 	}
 	version, err := l.put(ctx, object.Version, false)
 	if err != nil {
-		l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Take"), zap.Error(err))
+		l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Take"), zap.Error(err))
 
 		return
 	}
@@ -208,7 +209,7 @@
 	l.fence = version
 	l.validTo = now + _leaseHold
 	l.notBefore = now + wait
-	l.cfg.Log.Write(event.StewardTaken, zap.Int("Fence", version), zap.String("Former", lease.Holder), zap.Duration("Wait", wait))
+	l.cfg.Log.Write(event.StewardTaken, zap.String("Lease", l.cfg.Object), zap.Int("Fence", version), zap.String("Former", lease.Holder), zap.Duration("Wait", wait))
 }
 
 // unchanged says whether the lease has stayed at one version for so long that
@@ -230,17 +231,17 @@
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
 	var lease wire.StewardLease
-	object, err := l.cfg.Store.Get(ctx, Kind, Name)
+	object, err := l.cfg.Store.Get(ctx, Kind, l.cfg.Object)
 	if err != nil {
 		if objectstore.CodeOf(err) != objectstore.CodeNotFound {
-			l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Read"), zap.Error(err))
+			l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Read"), zap.Error(err))
 		}
 
 		return wire.Object{}, lease, err
 	}
 	if err := json.Unmarshal([]byte(object.Value), &lease); err != nil {
 		// Only instances write it; one that can't be read is replaced.
-		l.cfg.Log.Write(event.StewardFailed, zap.String("Call", "Decode"), zap.Error(err))
+		l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Decode"), zap.Error(err))
 	}
 
 	return object, lease, nil
@@ -263,9 +264,9 @@
 		return 0, err
 	}
 
-	return l.cfg.Store.Put(ctx, Kind, Name, string(value), version)
+	return l.cfg.Store.Put(ctx, Kind, l.cfg.Object, string(value), version)
 }
 
 func (l *Lease) logLost(why string, err error) {
-	l.cfg.Log.Write(event.StewardLost, zap.String("Why", why), zap.Int("Fence", l.fence), zap.Error(err))
+	l.cfg.Log.Write(event.StewardLost, zap.String("Lease", l.cfg.Object), zap.String("Why", why), zap.Int("Fence", l.fence), zap.Error(err))
 }
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -7,13 +7,16 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"papayastair.dev/papayastair/site"
 )
 
 const (
 	// _copyFill is how full a copy's engine may be by its own requests, as a
-	// part of the slots, before another copy is wanted.
-	_copyFill = 0.5
+	// part of the slots, before another copy is wanted: well before the slots
+	// are taken, the prompts of new requests hold up the events of others.
+	_copyFill = 0.2
 	// _liveCopies is the number of copies wanted of a model that urgent
 	// requests have asked for lately, so that the loss of one is borne.
 	_liveCopies = 3
@@ -34,8 +37,9 @@
 
 // Want is what callers ask of one model, over all instances.
 type Want struct {
-	// Requests is how many run or wait at present.
+	// Requests is how many run or wait at present, Running how many run.
 	Requests float64
+	Running  int
 	// PerSecond is the rate of requests.
 	PerSecond float64
 	// Urgent says that requests of urgent ranks ask for it.
@@ -94,6 +98,25 @@
 	now     time.Time
 	// mayCold says whether the rate of loads from the weight store has room.
 	mayCold bool
+	// shard is the number of this part of the backend servers among those that
+	// have a steward, of which there are shards.
+	shard  int
+	shards int
+	// total counts the copies of each model in all shards.
+	total map[string]int
+}
+
+// wanted is this shard's part of the copies wanted: all shards' parts together
+// are what the demand asks for, without a word between their stewards.
+func (p *planner) wanted(model string, total int) int {
+	n := max(p.shards, 1)
+	first := int(xxhash.Sum64String(model) % uint64(n))
+	part := total / n
+	if (p.shard-first+n)%n < total%n {
+		part++
+	}
+
+	return part
 }
 
 // lack is a model with fewer copies than wanted.
@@ -106,6 +129,9 @@
 
 func (p *planner) next() (step, bool) {
 	copies := p.copies()
+	for model, n := range copies {
+		p.total[model] += n
+	}
 	for _, l := range p.lacks(copies) {
 		if s, ok := p.loadFor(l); ok {
 			return s, true
@@ -126,7 +152,7 @@
 	models := slices.Sorted(maps.Keys(p.engine.Models))
 	slices.SortStableFunc(models, func(a, b string) int { return cmp.Compare(copies[a], copies[b]) })
 	for _, model := range models {
-		if copies[model] >= _spareCopies {
+		if copies[model] >= p.wanted(model, _spareCopies) {
 			continue
 		}
 		if s, ok := p.loadFor(lack{model: model}); ok {
@@ -168,13 +194,13 @@
 		l := lack{
 			model:  model,
 			copies: copies[model],
-			wanted: min(d.copies(p.engine.Slots, p.now), len(p.servers)),
+			wanted: min(p.wanted(model, d.copies(p.engine.Slots, p.now)), len(p.servers)),
 		}
 		if l.copies >= l.wanted {
 			continue
 		}
-		l.weight = d.requests / float64(l.copies+1)
-		if l.copies == 0 {
+		l.weight = d.requests / float64(p.shards) / float64(l.copies+1)
+		if p.total[model] == 0 {
 			l.weight += 1000
 			if !d.seen {
 				l.weight -= 500
@@ -286,14 +312,14 @@
 // cost is how much a copy would be missed; ok is false if it must stay.
 func (p *planner) cost(victim string, l lack, copies map[string]int) (float64, bool) {
 	d := p.demand(victim)
-	wanted := d.copies(p.engine.Slots, p.now)
-	mine := d.requests / float64(copies[victim])
+	wanted := p.wanted(victim, d.copies(p.engine.Slots, p.now))
+	mine := d.requests / float64(p.shards) / float64(copies[victim])
 	switch {
-	case copies[victim] <= 1:
+	case p.total[victim] <= 1:
 		return 0, false
 	case copies[victim] > wanted:
 		return mine - float64(copies[victim]-wanted), true
-	case l.copies == 0 && l.weight > mine:
+	case p.total[l.model] == 0 && l.weight > mine:
 		// A model that can't be reached at all goes before one's second copy.
 		return 100 + mine, true
 	default:
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -33,8 +35,15 @@
 	_adapterLoad = 12 * time.Millisecond
 	// _needMemory is how long a target that was waited for is still loaded.
 	_needMemory = time.Second
-	// _loadBurst is how many loads from the weight store may begin together.
-	_loadBurst = 2.0
+	// _needPatience is how long the steward of the shard that comes first has
+	// to load an adapter before others do.
+	_needPatience = 80 * time.Millisecond
+	// _foreignMemory is how long the word of another steward is believed.
+	_foreignMemory = 1500 * time.Millisecond
+	// _loadBurst is how many loads from the weight store one shard may begin
+	// together, and _loadShare the part of the rate that all use.
+	_loadBurst = 1.0
+	_loadShare = 0.9
 	// _stepsPerTick bounds the orders on models that one tick begins.
 	_stepsPerTick = 6
 )
@@ -75,8 +84,9 @@
 
 // Config is what a Steward works with.
 type Config struct {
-	// Lease says whether this instance gives the orders.
-	Lease *Lease
+	// Leases say to which shards of the backend servers this instance gives
+	// the orders; their number is the same at all instances.
+	Leases []*Lease
 	// Holder is this instance's name in orders.
 	Holder string
 	// Engine is the engine of a service, nil if it has none.
@@ -91,22 +101,30 @@
 	Log *event.Log
 }
 
-// need is a target that requests wait for.
+// need is a target that requests wait for, first since first and lately at.
 type need struct {
 	service string
+	first   time.Time
 	at      time.Time
 }
 
+// foreignView is what another steward says of a backend server.
+type foreignView struct {
+	at      time.Time
+	targets map[string]bool
+}
+
 // Steward gives the orders while it holds the lease. Use New.
 type Steward struct {
 	cfg     Config
 	mu      sync.Mutex
-	active  bool
+	active  []bool
 	servers map[string]*ledger
+	foreign map[string]foreignView
 	demands map[string]map[string]*demand
 	needs   map[site.Target]need
-	loads   float64
-	loadsAt time.Time
+	loads   []float64
+	loadsAt []time.Time
 	wake    chan struct{}
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -118,14 +136,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Steward{
 		cfg:     cfg,
+		active:  make([]bool, len(cfg.Leases)),
+		loads:   make([]float64, len(cfg.Leases)),
+		loadsAt: make([]time.Time, len(cfg.Leases)),
 		servers: map[string]*ledger{},
+		foreign: map[string]foreignView{},
 		demands: map[string]map[string]*demand{},
 		needs:   map[site.Target]need{},
 		wake:    make(chan struct{}, 1),
 		ctx:     ctx,
 		stop:    cancel,
 	}
-	s.wg.Go(s.holdLease)
+	for _, l := range cfg.Leases {
+		s.wg.Go(func() { s.holdLease(l) })
+	}
 	s.wg.Go(s.run)
 
 	return s
@@ -135,7 +159,30 @@
 func (s *Steward) Close() {
 	s.stop()
 	s.wg.Wait()
-	s.cfg.Lease.Release(context.Background())
+	for _, l := range s.cfg.Leases {
+		l.Release(context.Background())
+	}
+}
+
+// shard is the shard of a backend server.
+func (s *Steward) shard(id string) int {
+	return int(xxhash.Sum64String(id) % uint64(len(s.cfg.Leases)))
+}
+
+// SetForeign takes what another steward says that backend servers hold.
+func (s *Steward) SetForeign(held []wire.ServerTargets, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range held {
+		view := foreignView{
+			at:      now,
+			targets: make(map[string]bool, len(h.Targets)),
+		}
+		for _, t := range h.Targets {
+			view.targets[t] = true
+		}
+		s.foreign[h.Server] = view
+	}
 }
 
 // SetServer takes a backend server's entry, new or changed.
@@ -169,7 +216,7 @@
 			sum.PerSecond += w.PerSecond
 			sum.Urgent = sum.Urgent || w.Urgent
 			models[t.Model] = sum
-			if t.Adapter == "" || w.Requests == 0 && w.PerSecond == 0 {
+			if t.Adapter == "" || w.Running == 0 {
 				continue
 			}
 			for _, l := range s.servers {
@@ -200,8 +247,13 @@
 // Need asks for a target that requests wait for.
 func (s *Steward) Need(service string, t site.Target, now time.Time) {
 	s.mu.Lock()
+	first := now
+	if n, ok := s.needs[t]; ok {
+		first = n.first
+	}
 	s.needs[t] = need{
 		service: service,
+		first:   first,
 		at:      now,
 	}
 	s.mu.Unlock()
@@ -211,17 +263,27 @@
 	}
 }
 
-// Held is what all backend servers hold, while this instance is the steward
-// and knows it.
-func (s *Steward) Held() (fence int, held []wire.ServerTargets, ok bool) {
-	fence, ok = s.cfg.Lease.Held()
-	if !ok {
-		return 0, nil, false
+// Held is what the backend servers of the shards that this instance orders
+// hold, as far as it knows, and the fencing numbers.
+func (s *Steward) Held() (shards []wire.StewardShard, held []wire.ServerTargets) {
+	mine := make([]bool, len(s.cfg.Leases))
+	for i, l := range s.cfg.Leases {
+		fence, ok := l.Held()
+		mine[i] = ok
+		if ok {
+			shards = append(shards, wire.StewardShard{
+				Shard: i,
+				Fence: fence,
+			})
+		}
+	}
+	if len(shards) == 0 {
+		return nil, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.servers {
-		if l.known {
+		if l.known && mine[s.shard(id)] {
 			held = append(held, wire.ServerTargets{
 				Server:  id,
 				Targets: l.targets(),
@@ -230,12 +292,12 @@
 	}
 	slices.SortFunc(held, func(a, b wire.ServerTargets) int { return strings.Compare(a.Server, b.Server) })
 
-	return fence, held, true
+	return shards, held
 }
 
-func (s *Steward) holdLease() {
+func (s *Steward) holdLease(l *Lease) {
 	for s.ctx.Err() == nil {
-		wait := s.cfg.Lease.Step(s.ctx)
+		wait := l.Step(s.ctx)
 		select {
 		case <-s.ctx.Done():
 		case <-time.After(wait):
@@ -259,27 +321,22 @@
 
 // act begins what is to be done now.
 func (s *Steward) act(now time.Time) {
-	_, may := s.cfg.Lease.MayOrder()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if may != s.active {
-		s.active = may
-		s.loads = 0
-		s.loadsAt = now
-		// Another holder may have given orders since.
-		for _, l := range s.servers {
-			l.known = false
-			l.loading = ""
-			l.unloading = ""
+	any := false
+	for i, l := range s.cfg.Leases {
+		_, may := l.MayOrder()
+		any = any || may
+		if may != s.active[i] {
+			s.turn(i, may, now)
 		}
 	}
-	if !may {
+	if !any {
 		return
 	}
 	services := map[string][]*ledger{}
-	for _, l := range s.servers {
-		e := s.cfg.Engine(l.entry.Service)
-		if e == nil {
+	for id, l := range s.servers {
+		if s.cfg.Engine(l.entry.Service) == nil || !s.active[s.shard(id)] {
 			continue
 		}
 		services[l.entry.Service] = append(services[l.entry.Service], l)
@@ -295,6 +352,38 @@
 	}
 }
 
+// turn begins or ends the ordering of a shard. Another holder may have given
+// orders before, so nothing is known of its backend servers.
+func (s *Steward) turn(shard int, may bool, now time.Time) {
+	s.active[shard] = may
+	s.loads[shard] = 0
+	s.loadsAt[shard] = now
+	for id, l := range s.servers {
+		if s.shard(id) == shard {
+			l.known = false
+			l.loading = ""
+			l.unloading = ""
+		}
+	}
+}
+
+// others are the backend servers of a service that other stewards order, as
+// they said lately.
+func (s *Steward) others(service string, now time.Time) []foreignServer {
+	var out []foreignServer
+	for id, l := range s.servers {
+		view, ok := s.foreign[id]
+		if ok && now.Sub(view.at) <= _foreignMemory && l.entry.Service == service && !l.entry.Draining && !s.active[s.shard(id)] {
+			out = append(out, foreignServer{
+				id:      id,
+				targets: view.targets,
+			})
+		}
+	}
+
+	return out
+}
+
 // begin runs fn for a backend server in a goroutine of its own; one at a time.
 func (s *Steward) begin(l *ledger, fn func(l *ledger)) {
 	l.working = true
@@ -309,7 +398,13 @@
 // placeAdapters begins the loads of adapters that are waited for.
 func (s *Steward) placeAdapters(service string, e *site.Engine, servers []*ledger, now time.Time) {
 	steps := map[*ledger][]adapterStep{}
-	taken := map[*ledger]int{}
+	search := adapterSearch{
+		engine:  e,
+		own:     servers,
+		foreign: s.others(service, now),
+		taken:   map[*ledger]int{},
+		now:     now,
+	}
 	for t, n := range s.needs {
 		if now.Sub(n.at) > _needMemory {
 			delete(s.needs, t)
@@ -319,18 +414,21 @@
 		if n.service != service || t.Adapter == "" || e.Models[t.Model].Name == "" {
 			continue
 		}
-		if slices.ContainsFunc(servers, func(l *ledger) bool { return !l.entry.Draining && l.known && l.holds(t) }) {
+		if slices.ContainsFunc(servers, func(l *ledger) bool { return !l.entry.Draining && l.known && l.holds(t) }) ||
+			slices.ContainsFunc(search.foreign, func(f foreignServer) bool { return f.targets[t.String()] }) {
 			delete(s.needs, t)
 
 			continue
 		}
-		st, reason := placeAdapter(servers, e, t, taken, now)
+		st, reason := search.place(t, now.Sub(n.first) < _needPatience)
 		if st.server == nil {
-			s.cfg.Log.Write(event.StewardNoRoom, zap.Stringer("Target", t), zap.String("Reason", reason))
+			if reason != "Elsewhere" {
+				s.cfg.Log.Write(event.StewardNoRoom, zap.Stringer("Target", t), zap.String("Reason", reason))
+			}
 
 			continue
 		}
-		taken[st.server]++
+		search.taken[st.server]++
 		steps[st.server] = append(steps[st.server], st)
 		delete(s.needs, t)
 	}
@@ -392,21 +490,74 @@
 	l.pause = time.Now().Add(_refusedPause)
 }
 
-// placeModels begins the changes of models that demand asks for.
+// placeModels begins the changes of models that demand asks for, shard by
+// shard.
 func (s *Steward) placeModels(service string, e *site.Engine, servers []*ledger, now time.Time) {
-	s.loads = min(s.loads+e.LoadsPerSecond*now.Sub(s.loadsAt).Seconds(), _loadBurst)
-	s.loadsAt = now
 	if s.demands[service] == nil {
 		s.demands[service] = map[string]*demand{}
 	}
-	for range _stepsPerTick {
-		p := planner{
+	foreign := s.others(service, now)
+	alive := s.aliveShards(foreign)
+	for shard, active := range s.active {
+		if !active {
+			continue
+		}
+		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(s.active))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
+		s.loadsAt[shard] = now
+		var own []*ledger
+		total := map[string]int{}
+		for _, l := range servers {
+			if s.shard(l.entry.ID) == shard {
+				own = append(own, l)
+
+				continue
+			}
+			for model := range l.adapters {
+				if l.serves(model) && !l.entry.Draining {
+					total[model]++
+				}
+			}
+		}
+		for _, f := range foreign {
+			for text := range f.targets {
+				if strings.IndexByte(text, '/') < 0 {
+					total[text]++
+				}
+			}
+		}
+		s.placeShard(planner{
 			engine:  e,
-			servers: servers,
+			servers: own,
 			demands: s.demands[service],
 			now:     now,
-			mayCold: s.loads >= 1,
+			shard:   slices.Index(alive, shard),
+			shards:  len(alive),
+		}, shard, total)
+	}
+}
+
+// aliveShards are the shards that have a steward, in order.
+func (s *Steward) aliveShards(foreign []foreignServer) []int {
+	alive := make([]bool, len(s.active))
+	copy(alive, s.active)
+	for _, f := range foreign {
+		alive[s.shard(f.id)] = true
+	}
+	var out []int
+	for i, ok := range alive {
+		if ok {
+			out = append(out, i)
 		}
+	}
+
+	return out
+}
+
+// placeShard begins changes in one shard.
+func (s *Steward) placeShard(p planner, shard int, total map[string]int) {
+	for range _stepsPerTick {
+		p.mayCold = s.loads[shard] >= 1
+		p.total = maps.Clone(total)
 		st, ok := p.next()
 		if !ok {
 			return
@@ -414,19 +565,19 @@
 		l := st.server
 		target := site.Target{Model: st.model}
 		if st.load {
-			m := e.Models[st.model]
+			m := p.engine.Models[st.model]
 			expected := m.ColdLoad
 			if l.atHand[st.model] {
 				expected = max(m.DiskLoad, m.WarmLoad)
 			} else {
-				s.loads--
+				s.loads[shard]--
 			}
 			l.loading = st.model
-			l.loadedAt[st.model] = now
-			l.due = now.Add(expected)
+			l.loadedAt[st.model] = p.now
+			l.due = p.now.Add(expected)
 		} else {
 			l.unloading = st.model
-			l.due = now.Add(_reportLag)
+			l.due = p.now.Add(_reportLag)
 		}
 		s.begin(l, func(l *ledger) { s.changeModel(l, target, st) })
 	}
@@ -458,7 +609,7 @@
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, _orderTimeout)
 	defer cancel()
-	fence, may := s.cfg.Lease.MayOrder()
+	fence, may := s.cfg.Leases[s.shard(entry.ID)].MayOrder()
 	result := ResultNotSent
 	var err error
 	if may {
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -24,9 +24,6 @@
 	// FailureDomain is where the sender runs.
 	FailureDomain string `json:"FailureDomain"`
 
-	// Fence is the steward's fencing number.
-	Fence int `json:"Fence"`
-
 	// Heard names the last bulletin of each other instance.
 	Heard []HeardBulletin `json:"Heard"`
 
@@ -48,12 +45,13 @@
 	// SentMS is the sender's clock of elapsed time when it sent this.
 	SentMS int `json:"SentMS"`
 
+	// Shards are the parts of the backend servers to which the sender gives the
+	// orders.
+	Shards []StewardShard `json:"Shards"`
+
 	// Start rises with each start of the process.
 	Start int `json:"Start"`
 
-	// Steward says that the sender gives the orders.
-	Steward bool `json:"Steward"`
-
 	// Version is that of the configuration in force at the sender.
 	Version int `json:"Version"`
 }
@@ -121,6 +119,14 @@
 	Start int `json:"Start"`
 }
 
+type StewardShard struct {
+	// Fence is its fencing number.
+	Fence int `json:"Fence"`
+
+	// Shard is the number of the part.
+	Shard int `json:"Shard"`
+}
+
 type TargetDemand struct {
 	// PerSecond is the recent rate of requests.
 	PerSecond float64 `json:"PerSecond"`
