Test the hop and the whole path against hostile callers and workers

The tests found two faults at once: a pipelined request was answered only when the connection's idle time was over (the reader waited for more bytes with nobody to wake it), and the log line of a served request read a connection that another request had taken.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -34,6 +34,7 @@
 	j      *job
 	choice dispatch.Choice
 	conn   *hop.Conn
+	reused bool
 	run    *dispatch.Run
 	sentAt time.Time
 	first  time.Duration
@@ -85,6 +86,7 @@
 		return dispatch.ResultFailed, verdictNotRun, err
 	}
 	a.conn = conn
+	a.reused = conn.Reused
 	j.r.OnLeave(conn.Close)
 	if j.who != nil && !j.e.keysAllowed() {
 		conn.Close()
@@ -234,7 +236,7 @@
 	j.count("Served")
 	metrics.GetOrRegisterTimer("Entry.Latency."+j.route.Kind.String(), j.e.cfg.Registry).Update(total)
 	j.e.cfg.Log.Write(event.EntryServed, append(j.logFields(), zap.Int("Status", status), zap.Duration("First", a.sentAt.Sub(j.r.Arrived)+a.first),
-		zap.Duration("Pause", a.pause), zap.Int("Load", a.choice.Load), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.conn.Reused))...)
+		zap.Duration("Pause", a.pause), zap.Int("Load", a.choice.Load), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.reused))...)
 }
 
 // passEvents passes a stream on, event by event.
--- /dev/null
+++ b/hop/export_test.go
@@ -0,0 +1,6 @@
+package hop
+
+// ParseRequestForTest parses a head as the server does.
+func ParseRequestForTest(text string) (*Head, error) {
+	return parseRequest(text)
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -173,13 +173,14 @@
 // begun or the connection's idle time is over; then it says false.
 func (c *callerConn) awaitNext(r *Request) bool {
 	for {
+		// Bytes that came early are the next request's; until the answer is
+		// out, go on watching for the caller's leaving.
+		if c.br.Buffered() > 0 && r.isDoneOrWakes() {
+			return true
+		}
 		_, err := c.br.Peek(c.br.Buffered() + 1)
 		switch {
 		case err == nil:
-			if r.isDoneOrWakes() {
-				return true
-			}
-			// More bytes came early; go on watching for the caller's leaving.
 		case errors.Is(err, bufio.ErrBufferFull):
 			<-r.done
 
--- /dev/null
+++ b/hop/server_test.go
@@ -0,0 +1,348 @@
+package hop_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"papayastair.dev/papayastair/hop"
+	"papayastair.dev/papayastair/site"
+)
+
+var testLimits = site.Limits{
+	HeaderBytes:   1024,
+	BodyBytes:     64,
+	HeaderTimeout: 2 * time.Second,
+	IdleTimeout:   2 * time.Second,
+}
+
+// serve starts a server that answers each request with what it read.
+func serve(t *testing.T, handle func(r *hop.Request)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := hop.Serve(hop.ServerConfig{
+		Listener: listener,
+		Limits:   func() site.Limits { return testLimits },
+		Handle:   handle,
+	})
+	t.Cleanup(s.Close)
+
+	return listener.Addr().String()
+}
+
+func echo(r *hop.Request) {
+	r.Answer(200, nil, []byte(r.Head.Method+" "+r.Head.Target+" "+string(r.Body)))
+}
+
+// talk sends bytes and returns the statuses and bodies of all answers, and
+// whether the connection was closed after them.
+func talk(t *testing.T, address, text string) (answers []string, closed bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	br := bufio.NewReader(c)
+	for {
+		// An open connection brings nothing more; how long that is watched
+		// decides nothing, as a close is found at once.
+		_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := br.Peek(1); err != nil {
+			return answers, err == io.EOF
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answers = append(answers, strings.TrimSpace(fmt.Sprint(resp.StatusCode, " ", string(body))))
+	}
+}
+
+// TestBadInput is the table of what callers may send that must not be passed
+// on, with the answers given.
+func TestBadInput(t *testing.T) {
+	address := serve(t, echo)
+	const host = "Host: a.example\r\n"
+	tests := []struct {
+		name   string
+		give   string
+		want   []string
+		closed bool
+	}{
+		{
+			name: "proper",
+			give: "GET /a/ HTTP/1.1\r\n" + host + "\r\n",
+			want: []string{"200 GET /a/"},
+		},
+		{
+			name: "path and query stay as they are",
+			give: "GET //a/%2f/../b?x=%20&y HTTP/1.1\r\n" + host + "\r\n",
+			want: []string{"200 GET //a/%2f/../b?x=%20&y"},
+		},
+		{
+			name: "chunked body",
+			give: "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n",
+			want: []string{"200 POST /a abcde"},
+		},
+		{
+			name: "pipelined",
+			give: "GET /1 HTTP/1.1\r\n" + host + "\r\nGET /2 HTTP/1.1\r\n" + host + "\r\n",
+			want: []string{"200 GET /1", "200 GET /2"},
+		},
+		{
+			name:   "two lengths",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "length and chunks",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n" + host + "\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "length with a sign",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Content-Length: +3\r\n\r\nabc",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "list of lengths",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Content-Length: 3, 3\r\n\r\nabc",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "another coding",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "chunk size with a sign",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "chunk size that overflows",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n10000000000000003\r\nabc\r\n0\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "chunk longer than it says",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "bare CR in a value",
+			give:   "GET /a HTTP/1.1\r\n" + host + "X: a\rb\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "bare LF",
+			give:   "GET /a HTTP/1.1\n" + host + "\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "space before the colon",
+			give:   "GET /a HTTP/1.1\r\n" + host + "Content-Length : 3\r\n\r\nabc",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "folded line",
+			give:   "GET /a HTTP/1.1\r\n" + host + "X: a\r\n b\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "absolute target",
+			give:   "GET http://b.example/a HTTP/1.1\r\n" + host + "\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "space in the target",
+			give:   "GET /a b HTTP/1.1\r\n" + host + "\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "several hosts",
+			give:   "GET /a HTTP/1.1\r\n" + host + "Host: b.example\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "no host",
+			give:   "GET /a HTTP/1.1\r\n\r\n",
+			want:   []string{"400"},
+			closed: true,
+		},
+		{
+			name:   "another version",
+			give:   "GET /a HTTP/1.0\r\n" + host + "\r\n",
+			want:   []string{"505"},
+			closed: true,
+		},
+		{
+			name:   "head over the limit",
+			give:   "GET /a HTTP/1.1\r\n" + host + "X: " + strings.Repeat("a", 1024) + "\r\n\r\n",
+			want:   []string{"431"},
+			closed: true,
+		},
+		{
+			name:   "body over the limit",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Content-Length: 65\r\n\r\n" + strings.Repeat("a", 65),
+			want:   []string{"413"},
+			closed: true,
+		},
+		{
+			name:   "chunked body over the limit",
+			give:   "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("a", 65) + "\r\n0\r\n\r\n",
+			want:   []string{"413"},
+			closed: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, closed := talk(t, address, tt.give)
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if closed != tt.closed {
+				t.Errorf("closed = %v, want %v", closed, tt.closed)
+			}
+		})
+	}
+}
+
+// TestNextRequestWhileAnswering holds the reader against the answerer: a
+// request that comes just as the answer to the one before goes out is read at
+// once, and none is lost.
+func TestNextRequestWhileAnswering(t *testing.T) {
+	address := serve(t, echo)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	const requests = 3000
+	for i := range requests {
+		text := fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(fmt.Sprintf("GET /%d ", i), string(body)); diff != "" {
+			t.Fatalf("request %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// TestCallerLeaves finds that a caller's close is seen while its request is
+// answered.
+func TestCallerLeaves(t *testing.T) {
+	seen := make(chan struct{})
+	address := serve(t, func(r *hop.Request) {
+		<-r.Left()
+		close(seen)
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	<-seen
+}
+
+// TestUnansweredIsCut finds that a handler without an answer, and one that
+// ends in the middle of a stream, leave the caller with a visible cut.
+func TestUnansweredIsCut(t *testing.T) {
+	tests := []struct {
+		name   string
+		handle func(r *hop.Request)
+	}{
+		{
+			name:   "no answer",
+			handle: func(*hop.Request) {},
+		},
+		{
+			name: "stream without an end",
+			handle: func(r *hop.Request) {
+				r.Begin(200, "", nil)
+				r.Piece([]byte("part"))
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, err := http.Get("http://" + serve(t, tt.handle) + "/a")
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("whole answer %q, want a cut one", body)
+			}
+		})
+	}
+}
+
+// FuzzRequest feeds any bytes to the reader of requests: it must neither fail
+// nor pass on a target or a field that could be read in two ways.
+func FuzzRequest(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		head, err := hop.ParseRequestForTest(text)
+		if err != nil {
+			return
+		}
+		if strings.ContainsAny(head.Target, " \r\n\t") || head.Target[0] != '/' {
+			t.Errorf("target %q", head.Target)
+		}
+		for _, field := range head.Fields {
+			if strings.ContainsAny(field.Name+field.Value, "\r\n\x00") || strings.ContainsAny(field.Name, " :\t") {
+				t.Errorf("field %q: %q", field.Name, field.Value)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,370 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"papayastair.dev/papayastair/objectstore"
+)
+
+// WorkerConfig is what a Worker starts with.
+type WorkerConfig struct {
+	// ID names it, Service is the service that it belongs to.
+	ID      string
+	Service string
+	// Models are the models that it holds at its start; nil for a plain one.
+	Models []string
+	// AdapterPlaces is how many adapters it can hold.
+	AdapterPlaces int
+	// Store is where it registers.
+	Store objectstore.Store
+}
+
+// Worker is a backend server of the users' platform in their published
+// protocol. The last part of a request's path says how it answers:
+//
+//	whole     a body with a length
+//	events    five events
+//	slow      five events, 40 ms apart
+//	error     a signed failure
+//	short     less than the length, then the end
+//	long      bytes after a whole answer
+//	late      an answer to another request first
+//	unframed  a body that ends with the connection
+//	cut       events that break off in the middle of the third
+//	unsigned  a body without a signature
+//	encoded   a body with a coding
+//	garbage   bytes that are no answer
+//	full      a refusal, not run
+//	hang      nothing
+//
+// It keeps what it ran, by request id.
+type Worker struct {
+	// Address is the IP:port that it listens on.
+	Address string
+
+	cfg      WorkerConfig
+	listener net.Listener
+	mu       sync.Mutex
+	runs     map[string]int
+	heads    map[string]*http.Request
+	bodies   map[string]string
+	held     map[string][]string
+	orders   int
+	conns    map[net.Conn]struct{}
+	wg       conc.WaitGroup
+}
+
+const (
+	_workerBeats  = 5
+	_workerPause  = 40 * time.Millisecond
+	_workerSlots  = 8
+	_workerSeal   = "X-Server-Seal"
+	_workerID     = "X-Request-Id"
+	_workerNotRun = "X-Not-Run"
+)
+
+// NewWorker listens, registers in the store and serves until Close.
+func NewWorker(cfg WorkerConfig) (*Worker, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "standin: listen for a worker")
+	}
+	w := &Worker{
+		Address:  listener.Addr().String(),
+		cfg:      cfg,
+		listener: listener,
+		runs:     map[string]int{},
+		heads:    map[string]*http.Request{},
+		bodies:   map[string]string{},
+		held:     map[string][]string{},
+		conns:    map[net.Conn]struct{}{},
+	}
+	for _, m := range cfg.Models {
+		w.held[m] = []string{}
+	}
+	if err := w.Register("ready"); err != nil {
+		_ = listener.Close()
+
+		return nil, err
+	}
+	w.wg.Go(w.accept)
+
+	return w, nil
+}
+
+// Close ends all connections and waits.
+func (w *Worker) Close() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	for c := range w.conns {
+		_ = c.Close()
+	}
+	w.mu.Unlock()
+	w.wg.Wait()
+}
+
+// Runs is how often a request has run.
+func (w *Worker) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.runs[id]
+}
+
+// Seen is the head and the body of a request as they arrived, nil if it didn't.
+func (w *Worker) Seen(id string) (*http.Request, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.heads[id], w.bodies[id]
+}
+
+// Register writes the worker's entry with a state.
+func (w *Worker) Register(state string) error {
+	w.mu.Lock()
+	entry := map[string]any{
+		"service": w.cfg.Service,
+		"addr":    w.Address,
+		"zone":    "a",
+		"slots":   _workerSlots,
+		"state":   state,
+		"born":    1,
+		"models":  w.models(),
+	}
+	w.mu.Unlock()
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return eris.Wrap(err, "standin: encode a worker's entry")
+	}
+	version := 0
+	if o, err := w.cfg.Store.Get(context.Background(), "servers", w.cfg.ID); err == nil {
+		version = o.Version
+	}
+	_, err = w.cfg.Store.Put(context.Background(), "servers", w.cfg.ID, string(value), version)
+
+	return err
+}
+
+func (w *Worker) models() []map[string]any {
+	out := []map[string]any{}
+	for m, adapters := range w.held {
+		out = append(out, map[string]any{
+			"name":     m,
+			"version":  1,
+			"adapters": adapters,
+		})
+	}
+
+	return out
+}
+
+func (w *Worker) accept() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.conns[c] = struct{}{}
+		w.mu.Unlock()
+		w.wg.Go(func() {
+			w.serve(c)
+			_ = c.Close()
+			w.mu.Lock()
+			delete(w.conns, c)
+			w.mu.Unlock()
+		})
+	}
+}
+
+func (w *Worker) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !w.answer(c, br, r, string(body)) {
+			return
+		}
+	}
+}
+
+// answer answers one request and says whether the connection stays open.
+func (w *Worker) answer(c net.Conn, br *bufio.Reader, r *http.Request, body string) bool {
+	switch {
+	case r.Header.Get("X-Expect-Instance") != "" && r.Header.Get("X-Expect-Instance") != w.cfg.ID:
+		return send(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.cfg.ID)
+	case r.URL.Path == "/api/report":
+		return w.sendReport(c)
+	case r.URL.Path == "/api/order":
+		return w.takeOrder(c, body)
+	}
+	id := r.Header.Get(_workerID)
+	model, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
+	w.mu.Lock()
+	adapters, held := w.held[model]
+	w.mu.Unlock()
+	if model != "" && (!held || adapter != "" && !contains(adapters, adapter)) {
+		return send(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", _workerID, id, w.cfg.ID)
+	}
+	mode := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	w.mu.Lock()
+	w.heads[id] = r
+	w.bodies[id] = body
+	if mode != "full" {
+		w.runs[id]++
+	}
+	w.mu.Unlock()
+
+	return w.play(c, br, mode, id, r.Header.Get("Last-Event-Id"))
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+
+	return false
+}
+
+// play answers in one of the ways.
+func (w *Worker) play(c net.Conn, br *bufio.Reader, mode, id, last string) bool {
+	signed := fmt.Sprintf("%s: %s\r\n%s: seal-%s\r\n", _workerID, id, _workerSeal, w.cfg.ID)
+	switch mode {
+	case "events", "slow", "cut":
+		return w.playEvents(c, mode, signed, last)
+	case "error":
+		return send(c, "HTTP/1.1 500 Failed\r\n%sContent-Length: 4\r\n\r\nfail", signed)
+	case "short":
+		send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 10\r\n\r\nhalf", signed)
+
+		return false
+	case "long":
+		send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", signed)
+
+		return true
+	case "late":
+		return send(c, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: seal\r\nContent-Length: 5\r\n\r\nother"+
+			"HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwhole", _workerID, _workerSeal, signed)
+	case "unframed":
+		send(c, "HTTP/1.1 200 OK\r\n%s\r\nwhole", signed)
+
+		return false
+	case "unsigned":
+		return send(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", _workerID, id)
+	case "encoded":
+		return send(c, "HTTP/1.1 200 OK\r\n%sContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole", signed)
+	case "garbage":
+		send(c, "\x00\x01garbage\r\n\r\n")
+
+		return false
+	case "full":
+		return send(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", _workerID, id, _workerNotRun)
+	case "hang":
+		// Ends when the other side closes.
+		_, _ = br.Peek(1)
+
+		return false
+	default:
+		return send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwhole", signed)
+	}
+}
+
+// playEvents sends the events after the one named last.
+func (w *Worker) playEvents(c net.Conn, mode, signed, last string) bool {
+	// No last event is the beginning.
+	from, _ := strconv.Atoi(last)
+	send(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed)
+	for i := from + 1; i <= _workerBeats; i++ {
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if mode == "cut" && i == 3 && from == 0 {
+			send(c, "%x\r\n%s", len(text), text[:len(text)/2])
+
+			return false
+		}
+		if !send(c, "%x\r\n%s\r\n", len(text), text) {
+			return false
+		}
+		if mode == "slow" {
+			time.Sleep(_workerPause)
+		}
+	}
+
+	return send(c, "0\r\n\r\n")
+}
+
+func (w *Worker) sendReport(c net.Conn) bool {
+	w.mu.Lock()
+	body, err := json.Marshal(map[string]any{
+		"stage":  "both",
+		"born":   1,
+		"models": w.models(),
+		"seq":    w.orders,
+	})
+	w.mu.Unlock()
+	if err != nil {
+		return false
+	}
+
+	return send(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// takeOrder carries an order out at once.
+func (w *Worker) takeOrder(c net.Conn, body string) bool {
+	var o struct {
+		Op      string `json:"op"`
+		Model   string `json:"model"`
+		Adapter string `json:"adapter"`
+		Expect  int    `json:"expect"`
+	}
+	if err := json.Unmarshal([]byte(body), &o); err != nil {
+		return send(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Expect != w.orders {
+		return send(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+	}
+	w.orders++
+	switch {
+	case o.Op == "load" && o.Adapter == "":
+		w.held[o.Model] = []string{}
+	case o.Op == "load":
+		w.held[o.Model] = append(w.held[o.Model], o.Adapter)
+	case o.Adapter == "":
+		delete(w.held, o.Model)
+	default:
+		kept := []string{}
+		for _, a := range w.held[o.Model] {
+			if a != o.Adapter {
+				kept = append(kept, a)
+			}
+		}
+		w.held[o.Model] = kept
+	}
+
+	return send(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+}
+
+func send(c net.Conn, format string, args ...any) bool {
+	_, err := fmt.Fprintf(c, format, args...)
+
+	return err == nil
+}
