Reserve the room that is made, and let copies follow the trend of demand

Change: room that was made is reserved; the number of copies follows the requests drawn out by their trend.

--- a/steward/ledger.go
+++ b/steward/ledger.go
@@ -26,8 +26,9 @@
 	// loading is the model on its way, and unloading the one that leaves.
 	loading   string
 	unloading string
-	since     time.Time
 	due       time.Time
+	// roomFor is the model for which another was unloaded.
+	roomFor string
 	// working says that a goroutine talks to the backend server.
 	working bool
 	// pause is until when nothing is ordered after a refusal.
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -23,10 +23,15 @@
 	// _liveMemory is how long a model counts as asked for.
 	_liveMemory = time.Minute
 	// _demandRise and _demandFall smooth the number of requests, up within a
-	// second and down within some ten, at five counts a second: a copy takes
+	// second and down within some five, at five counts a second: a copy takes
 	// seconds to come, and a pause must not cost one.
 	_demandRise = 0.3
-	_demandFall = 0.02
+	_demandFall = 0.05
+	// _trendMemory smooths the number that the trend is taken against, over
+	// some two seconds, and _trendAhead is for how many times that span it is
+	// drawn out: until a copy ordered now is there.
+	_trendMemory = 0.1
+	_trendAhead  = 2.0
 	// _spareCopies is the number of copies that any model gets while memory
 	// is free.
 	_spareCopies = 2
@@ -49,6 +54,8 @@
 // demand remembers what was asked of a model.
 type demand struct {
 	requests float64
+	// before is the number of requests some two seconds ago.
+	before   float64
 	urgentAt time.Time
 	askedAt  time.Time
 	seen     bool
@@ -60,6 +67,7 @@
 	} else {
 		d.requests += _demandFall * (w.Requests - d.requests)
 	}
+	d.before += _trendMemory * (d.requests - d.before)
 	if w.Requests > 0 || w.PerSecond > 0 {
 		d.askedAt = now
 		d.seen = true
@@ -69,9 +77,14 @@
 	}
 }
 
+// expected is the number of requests when a copy ordered now is there.
+func (d *demand) expected() float64 {
+	return d.requests + max(0, d.requests-d.before)*_trendAhead
+}
+
 // copies is how many copies are wanted.
 func (d *demand) copies(slots int, now time.Time) int {
-	n := int(math.Ceil(d.requests / (float64(max(slots, 1)) * _copyFill)))
+	n := int(math.Ceil(d.expected() / (float64(max(slots, 1)) * _copyFill)))
 	switch {
 	case !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory:
 		return max(n, _liveCopies)
@@ -85,10 +98,12 @@
 	server *ledger
 	load   bool
 	model  string
+	// room is the model that an unload makes room for.
+	room   string
 	reason string
 }
 
-// plan says what to change now: for the model that lacks copies most, a load
+// planner says what to change now: for the model that lacks copies most, a load
 // where there is room, else an unload that makes room. A model's last copy is
 // never unloaded, nor one that is wanted itself.
 type planner struct {
@@ -128,6 +143,20 @@
 }
 
 func (p *planner) next() (step, bool) {
+	// Room that was made is used first.
+	for _, s := range p.servers {
+		if s.roomFor == "" || !p.free(s) || s.serves(s.roomFor) {
+			continue
+		}
+		if s.freeMB(p.engine) >= p.engine.Models[s.roomFor].WeightsMB && (p.mayCold || s.atHand[s.roomFor]) {
+			return step{
+				server: s,
+				load:   true,
+				model:  s.roomFor,
+				reason: "Demand",
+			}, true
+		}
+	}
 	copies := p.copies()
 	for model, n := range copies {
 		p.total[model] += n
@@ -150,7 +179,10 @@
 		return step{}, false
 	}
 	models := slices.Sorted(maps.Keys(p.engine.Models))
-	slices.SortStableFunc(models, func(a, b string) int { return cmp.Compare(copies[a], copies[b]) })
+	// Among equals those with many adapters first: they need the places.
+	slices.SortStableFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(copies[a], copies[b]), cmp.Compare(p.engine.Models[b].Adapters, p.engine.Models[a].Adapters))
+	})
 	for _, model := range models {
 		if copies[model] >= p.wanted(model, _spareCopies) {
 			continue
@@ -180,6 +212,9 @@
 		if s.loading != "" && !s.serves(s.loading) {
 			copies[s.loading]++
 		}
+		if s.roomFor != "" && s.loading == "" && !s.serves(s.roomFor) {
+			copies[s.roomFor]++
+		}
 	}
 
 	return copies
@@ -199,7 +234,7 @@
 		if l.copies >= l.wanted {
 			continue
 		}
-		l.weight = d.requests / float64(p.shards) / float64(l.copies+1)
+		l.weight = d.expected() / float64(p.shards) / float64(l.copies+1)
 		if p.total[model] == 0 {
 			l.weight += 1000
 			if !d.seen {
@@ -234,7 +269,7 @@
 	var best *ledger
 	bestScore := math.Inf(-1)
 	for _, s := range p.servers {
-		if !p.free(s) || s.serves(l.model) || s.freeMB(p.engine) < p.engine.Models[l.model].WeightsMB {
+		if !p.free(s) || s.roomFor != "" || s.serves(l.model) || s.freeMB(p.engine) < p.engine.Models[l.model].WeightsMB {
 			continue
 		}
 		if !s.atHand[l.model] && !p.mayCold {
@@ -281,7 +316,7 @@
 	bestCost := math.Inf(1)
 	need := p.engine.Models[l.model].WeightsMB
 	for _, s := range p.servers {
-		if !p.free(s) || s.serves(l.model) || !s.atHand[l.model] && !p.mayCold {
+		if !p.free(s) || s.roomFor != "" || s.serves(l.model) || !s.atHand[l.model] && !p.mayCold {
 			continue
 		}
 		for victim := range s.adapters {
@@ -300,6 +335,7 @@
 				best = step{
 					server: s,
 					model:  victim,
+					room:   l.model,
 					reason: "RoomFor " + l.model,
 				}
 			}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -363,6 +363,7 @@
 			l.known = false
 			l.loading = ""
 			l.unloading = ""
+			l.roomFor = ""
 		}
 	}
 }
@@ -573,10 +574,12 @@
 				s.loads[shard]--
 			}
 			l.loading = st.model
+			l.roomFor = ""
 			l.loadedAt[st.model] = p.now
 			l.due = p.now.Add(expected)
 		} else {
 			l.unloading = st.model
+			l.roomFor = st.room
 			l.due = p.now.Add(_reportLag)
 		}
 		s.begin(l, func(l *ledger) { s.changeModel(l, target, st) })
@@ -595,6 +598,7 @@
 	case ResultNotSent:
 		l.loading = ""
 		l.unloading = ""
+		l.roomFor = ""
 		l.pause = time.Now().Add(_refusedPause)
 	}
 	s.mu.Unlock()
