--- a/event/entry.go
+++ b/event/entry.go
@@ -34,5 +34,6 @@
 	StewardOrder    = declare(6203, "StewardOrder", zapcore.InfoLevel, "An order was given to a backend server; with its reason and result.")
 	StewardReport   = declare(6204, "StewardReport", zapcore.WarnLevel, "A backend server's report could not be read.")
 	StewardObserved = declare(6205, "StewardObserved", zapcore.InfoLevel, "A backend server was found to hold other models than was known.")
+	StewardLacking  = declare(6207, "StewardLacking", zapcore.InfoLevel, "A model has fewer copies than are wanted and none can be loaded now; at most one line a second for each shard.")
 	StewardNoRoom   = declare(6206, "StewardNoRoom", zapcore.InfoLevel, "A target that requests wait for can't be loaded now; with the reason.")
 )
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -13,15 +13,34 @@
 )
 
 const (
-	// _copyFill is how full a copy's engine may be by its own requests, as a
-	// part of the slots, before another copy is wanted: well before the slots
-	// are taken, the prompts of new requests hold up the events of others.
-	_copyFill = 0.2
-	// _liveCopies is the number of copies wanted of a model that urgent
-	// requests have asked for lately, so that the loss of one is borne.
-	_liveCopies = 3
+	// _comfort is how many requests a copy serves without trouble, as a part of
+	// its engine's slots: well before the slots are taken, the prompts of new
+	// requests hold up the events of others.
+	_comfort = 0.2
+	// _worstCrowd bounds how much worse than comfort one copy can make it.
+	_worstCrowd = 5.0
+	// _unreachable is what a request for a model without a copy weighs, and
+	// _unreachableBase what the model weighs without any request.
+	_unreachable     = 20.0
+	_unreachableBase = 50.0
+	// _resilience is what the loss of one of few copies weighs for a model that
+	// urgent requests have asked for lately.
+	_resilience = 4.0
 	// _liveMemory is how long a model counts as asked for.
 	_liveMemory = time.Minute
+	// _swapFactor and _swapBase are by how much a copy must be worth more than
+	// the one that yields to it: a load takes seconds and costs the store.
+	_swapFactor = 1.5
+	_swapBase   = 0.6
+	// _spareGain is what a copy that no request needs must be worth to be
+	// loaded into free memory; _spareCopies get it in any case.
+	_spareGain   = 0.2
+	_spareCopies = 2
+	// _atHandFactor prefers a server where the weights are at hand.
+	_atHandFactor = 0.7
+	// _otherShard is how much less a copy is worth in a shard that isn't the
+	// one with the fewest, so that stewards don't all load the same model.
+	_otherShard = 0.5
 	// _demandRise and _demandFall smooth the number of requests, up within a
 	// second and down within some five, at five counts a second: a copy takes
 	// seconds to come, and a pause must not cost one.
@@ -32,9 +51,6 @@
 	// drawn out: until a copy ordered now is there.
 	_trendMemory = 0.1
 	_trendAhead  = 2.0
-	// _spareCopies is the number of copies that any model gets while memory
-	// is free.
-	_spareCopies = 2
 	// _stay is how long a copy stays at least, so that two models don't push
 	// each other out by turns.
 	_stay = 6 * time.Second
@@ -82,15 +98,25 @@
 	return d.requests + max(0, d.requests-d.before)*_trendAhead
 }
 
-// copies is how many copies are wanted.
-func (d *demand) copies(slots int, now time.Time) int {
-	n := int(math.Ceil(d.expected() / (float64(max(slots, 1)) * _copyFill)))
-	switch {
-	case !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory:
-		return max(n, _liveCopies)
-	default:
-		return max(n, 1)
+// trouble is what is wrong with k copies: requests that crowd them, the danger
+// of losing one, or that there is none.
+func (d *demand) trouble(k, slots int, now time.Time) float64 {
+	r := d.expected()
+	if k == 0 {
+		return _unreachableBase + _unreachable*r
 	}
+	crowd := min(r/(float64(k)*float64(max(slots, 1))*_comfort), _worstCrowd)
+	t := r * crowd
+	if !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory {
+		t += _resilience / float64(k)
+	}
+
+	return t
+}
+
+// gain is what one copy more than k is worth.
+func (d *demand) gain(k, slots int, now time.Time) float64 {
+	return d.trouble(k, slots, now) - d.trouble(k+1, slots, now)
 }
 
 // step is one change of the models on one backend server.
@@ -103,9 +129,9 @@
 	reason string
 }
 
-// planner says what to change now: for the model that lacks copies most, a load
-// where there is room, else an unload that makes room. A model's last copy is
-// never unloaded, nor one that is wanted itself.
+// planner says what to change now in one shard: the copy that is worth most
+// for its memory is loaded, where there is room, or where copies worth less
+// yield. A model's last copy never yields.
 type planner struct {
 	engine  *site.Engine
 	servers []*ledger
@@ -117,50 +143,25 @@
 	// have a steward, of which there are shards.
 	shard  int
 	shards int
-	// total counts the copies of each model in all shards.
-	total map[string]int
-}
-
-// wanted is this shard's part of the copies wanted: all shards' parts together
-// are what the demand asks for, without a word between their stewards.
-func (p *planner) wanted(model string, total int) int {
-	n := max(p.shards, 1)
-	first := int(xxhash.Sum64String(model) % uint64(n))
-	part := total / n
-	if (p.shard-first+n)%n < total%n {
-		part++
-	}
-
-	return part
+	// elsewhere counts the copies of each model in each of those shards; this
+	// shard's are counted anew.
+	elsewhere map[string][]int
+	// unmet are the models for which nothing can be done now.
+	unmet []lack
 }
 
-// lack is a model with fewer copies than wanted.
+// lack is a model that is worth another copy.
 type lack struct {
 	model  string
 	copies int
-	wanted int
-	weight float64
+	gain   float64
 }
 
 func (p *planner) next() (step, bool) {
-	// Room that was made is used first.
-	for _, s := range p.servers {
-		if s.roomFor == "" || !p.free(s) || s.serves(s.roomFor) {
-			continue
-		}
-		if s.freeMB(p.engine) >= p.engine.Models[s.roomFor].WeightsMB && (p.mayCold || s.atHand[s.roomFor]) {
-			return step{
-				server: s,
-				load:   true,
-				model:  s.roomFor,
-				reason: "Demand",
-			}, true
-		}
+	if s, ok := p.useRoom(); ok {
+		return s, true
 	}
 	copies := p.copies()
-	for model, n := range copies {
-		p.total[model] += n
-	}
 	for _, l := range p.lacks(copies) {
 		if s, ok := p.loadFor(l); ok {
 			return s, true
@@ -168,86 +169,120 @@
 		if s, ok := p.makeRoom(l, copies); ok {
 			return s, true
 		}
+		p.unmet = append(p.unmet, l)
 	}
 
-	return p.spare(copies)
+	return step{}, false
 }
 
-// spare fills free memory with copies of the models that have fewest.
-func (p *planner) spare(copies map[string]int) (step, bool) {
-	if !p.mayCold {
-		return step{}, false
-	}
-	models := slices.Sorted(maps.Keys(p.engine.Models))
-	// Among equals those with many adapters first: they need the places.
-	slices.SortStableFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(copies[a], copies[b]), cmp.Compare(p.engine.Models[b].Adapters, p.engine.Models[a].Adapters))
-	})
-	for _, model := range models {
-		if copies[model] >= p.wanted(model, _spareCopies) {
+// useRoom loads a model for which room was made.
+func (p *planner) useRoom() (step, bool) {
+	for _, s := range p.servers {
+		if s.roomFor == "" || !p.free(s) || s.serves(s.roomFor) || !p.mayCold && !s.atHand[s.roomFor] {
 			continue
 		}
-		if s, ok := p.loadFor(lack{model: model}); ok {
-			s.reason = "Spare"
-
-			return s, true
+		if s.freeMB(p.engine) >= p.engine.Models[s.roomFor].WeightsMB {
+			return step{
+				server: s,
+				load:   true,
+				model:  s.roomFor,
+				reason: "Demand",
+			}, true
 		}
 	}
 
 	return step{}, false
 }
 
-// copies counts the copies that serve or come, on servers that stay.
+// copies counts the copies of all shards that serve or come, on servers that
+// stay.
 func (p *planner) copies() map[string]int {
-	copies := map[string]int{}
+	own := map[string]int{}
 	for _, s := range p.servers {
 		if s.entry.Draining {
 			continue
 		}
 		for model := range s.adapters {
 			if s.serves(model) {
-				copies[model]++
+				own[model]++
 			}
 		}
-		if s.loading != "" && !s.serves(s.loading) {
-			copies[s.loading]++
+		for _, coming := range []string{s.loading, s.roomFor} {
+			if coming != "" && !s.serves(coming) {
+				own[coming]++
+
+				break
+			}
+		}
+	}
+	total := map[string]int{}
+	for model := range p.engine.Models {
+		counts := make([]int, p.shards)
+		copy(counts, p.elsewhere[model])
+		counts[p.shard] = own[model]
+		p.elsewhere[model] = counts
+		for _, n := range counts {
+			total[model] += n
 		}
-		if s.roomFor != "" && s.loading == "" && !s.serves(s.roomFor) {
-			copies[s.roomFor]++
+	}
+
+	return total
+}
+
+// isNext says whether this shard is where the next copy of a model should go:
+// the one with the fewest, beginning with one that depends on the model.
+func (p *planner) isNext(model string) bool {
+	counts := p.elsewhere[model]
+	first := int(xxhash.Sum64String(model) % uint64(p.shards))
+	best := first
+	for n := range counts {
+		if i := (first + n) % len(counts); counts[i] < counts[best] {
+			best = i
 		}
 	}
 
-	return copies
+	return best == p.shard
 }
 
-// lacks orders the models that want copies: those with none and asked for
-// first, then by how much they lack.
+// lacks orders the models by what another copy of each is worth for its memory.
 func (p *planner) lacks(copies map[string]int) []lack {
 	var out []lack
 	for _, model := range slices.Sorted(maps.Keys(p.engine.Models)) {
-		d := p.demand(model)
 		l := lack{
 			model:  model,
 			copies: copies[model],
-			wanted: min(p.wanted(model, d.copies(p.engine.Slots, p.now)), len(p.servers)),
+			gain:   p.worth(model, p.demand(model).gain(copies[model], p.engine.Slots, p.now)),
 		}
-		if l.copies >= l.wanted {
-			continue
+		if !p.isNext(model) {
+			l.gain *= _otherShard
 		}
-		l.weight = d.expected() / float64(p.shards) / float64(l.copies+1)
-		if p.total[model] == 0 {
-			l.weight += 1000
-			if !d.seen {
-				l.weight -= 500
-			}
+		if l.gain > _spareGain || l.copies < _spareCopies && p.isNext(model) {
+			out = append(out, l)
 		}
-		out = append(out, l)
 	}
-	slices.SortStableFunc(out, func(a, b lack) int { return cmp.Compare(b.weight, a.weight) })
+	// Among equals those with many adapters first: they need the places.
+	slices.SortStableFunc(out, func(a, b lack) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(p.engine.Models[b.model].Adapters, p.engine.Models[a.model].Adapters))
+	})
 
 	return out
 }
 
+// worth weighs a gain by the memory that a copy takes.
+func (p *planner) worth(model string, gain float64) float64 {
+	return gain * p.typicalMB() / max(p.engine.Models[model].WeightsMB, 1)
+}
+
+// typicalMB is the mean size of a model.
+func (p *planner) typicalMB() float64 {
+	sum := 0.0
+	for _, m := range p.engine.Models {
+		sum += m.WeightsMB
+	}
+
+	return sum / float64(max(len(p.engine.Models), 1))
+}
+
 func (p *planner) demand(model string) *demand {
 	d := p.demands[model]
 	if d == nil {
@@ -263,23 +298,24 @@
 	return s.known && !s.entry.Draining && !s.busy() && !s.working && !p.now.Before(s.pause)
 }
 
-// loadFor finds the server with room for a model, one with its weights at
-// hand first, then the emptiest.
+// mayHost says whether a model can be loaded on a server now, room aside.
+func (p *planner) mayHost(s *ledger, model string) bool {
+	return p.free(s) && s.roomFor == "" && !s.serves(model) && (s.atHand[model] || p.mayCold)
+}
+
+// loadFor finds the server with room for a model: one with its weights at hand
+// first, then in the failure domain with the fewest copies, then the emptiest.
 func (p *planner) loadFor(l lack) (step, bool) {
 	var best *ledger
 	bestScore := math.Inf(-1)
 	for _, s := range p.servers {
-		if !p.free(s) || s.roomFor != "" || s.serves(l.model) || s.freeMB(p.engine) < p.engine.Models[l.model].WeightsMB {
+		if !p.mayHost(s, l.model) || s.freeMB(p.engine) < p.engine.Models[l.model].WeightsMB {
 			continue
 		}
-		if !s.atHand[l.model] && !p.mayCold {
-			continue
-		}
-		score := s.freeMB(p.engine) / p.engine.WeightsMB
+		score := s.freeMB(p.engine)/p.engine.WeightsMB - p.inDomain(l.model, s.entry.FailureDomain)
 		if s.atHand[l.model] {
 			score += 10
 		}
-		score -= p.inDomain(l.model, s.entry.FailureDomain)
 		if score > bestScore {
 			best = s
 			bestScore = score
@@ -310,28 +346,26 @@
 }
 
 // makeRoom finds the copy that is missed least on a server where its going
-// gives room for the model.
+// gives room for the model, if it is worth much less than the model's.
 func (p *planner) makeRoom(l lack, copies map[string]int) (step, bool) {
 	var best step
-	bestCost := math.Inf(1)
+	bestLoss := math.Inf(1)
 	need := p.engine.Models[l.model].WeightsMB
 	for _, s := range p.servers {
-		if !p.free(s) || s.roomFor != "" || s.serves(l.model) || !s.atHand[l.model] && !p.mayCold {
+		if !p.mayHost(s, l.model) {
 			continue
 		}
 		for victim := range s.adapters {
-			if p.now.Sub(s.loadedAt[victim]) < _stay || s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
-				continue
-			}
-			cost, ok := p.cost(victim, l, copies)
-			if !ok {
+			if copies[victim] <= 1 || p.now.Sub(s.loadedAt[victim]) < _stay ||
+				s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
 				continue
 			}
-			if !s.atHand[l.model] {
-				cost += 5
+			loss := p.worth(victim, p.demand(victim).gain(copies[victim]-1, p.engine.Slots, p.now))
+			if s.atHand[l.model] {
+				loss *= _atHandFactor
 			}
-			if cost < bestCost || cost == bestCost && s.entry.ID < best.server.entry.ID {
-				bestCost = cost
+			if loss < bestLoss || loss == bestLoss && s.entry.ID < best.server.entry.ID {
+				bestLoss = loss
 				best = step{
 					server: s,
 					model:  victim,
@@ -342,23 +376,5 @@
 		}
 	}
 
-	return best, best.server != nil
-}
-
-// cost is how much a copy would be missed; ok is false if it must stay.
-func (p *planner) cost(victim string, l lack, copies map[string]int) (float64, bool) {
-	d := p.demand(victim)
-	wanted := p.wanted(victim, d.copies(p.engine.Slots, p.now))
-	mine := d.requests / float64(p.shards) / float64(copies[victim])
-	switch {
-	case p.total[victim] <= 1:
-		return 0, false
-	case copies[victim] > wanted:
-		return mine - float64(copies[victim]-wanted), true
-	case p.total[l.model] == 0 && l.weight > mine:
-		// A model that can't be reached at all goes before one's second copy.
-		return 100 + mine, true
-	default:
-		return 0, false
-	}
+	return best, best.server != nil && l.gain > _swapFactor*bestLoss+_swapBase
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,6 +39,8 @@
 	_needPatience = 80 * time.Millisecond
 	// _foreignMemory is how long the word of another steward is believed.
 	_foreignMemory = 1500 * time.Millisecond
+	// _unmetEvery is the time between two lines on demand that can't be met.
+	_unmetEvery = time.Second
 	// _loadBurst is how many loads from the weight store one shard may begin
 	// together, and _loadShare the part of the rate that all use.
 	_loadBurst = 1.0
@@ -125,27 +126,30 @@
 	needs   map[site.Target]need
 	loads   []float64
 	loadsAt []time.Time
-	wake    chan struct{}
-	ctx     context.Context
-	stop    context.CancelFunc
-	wg      conc.WaitGroup
+	// toldUnmet is when a shard's unmet demand was logged last.
+	toldUnmet []time.Time
+	wake      chan struct{}
+	ctx       context.Context
+	stop      context.CancelFunc
+	wg        conc.WaitGroup
 }
 
 // New starts a steward.
 func New(cfg Config) *Steward {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Steward{
-		cfg:     cfg,
-		active:  make([]bool, len(cfg.Leases)),
-		loads:   make([]float64, len(cfg.Leases)),
-		loadsAt: make([]time.Time, len(cfg.Leases)),
-		servers: map[string]*ledger{},
-		foreign: map[string]foreignView{},
-		demands: map[string]map[string]*demand{},
-		needs:   map[site.Target]need{},
-		wake:    make(chan struct{}, 1),
-		ctx:     ctx,
-		stop:    cancel,
+		cfg:       cfg,
+		active:    make([]bool, len(cfg.Leases)),
+		loads:     make([]float64, len(cfg.Leases)),
+		loadsAt:   make([]time.Time, len(cfg.Leases)),
+		toldUnmet: make([]time.Time, len(cfg.Leases)),
+		servers:   map[string]*ledger{},
+		foreign:   map[string]foreignView{},
+		demands:   map[string]map[string]*demand{},
+		needs:     map[site.Target]need{},
+		wake:      make(chan struct{}, 1),
+		ctx:       ctx,
+		stop:      cancel,
 	}
 	for _, l := range cfg.Leases {
 		s.wg.Go(func() { s.holdLease(l) })
@@ -506,7 +510,15 @@
 		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(s.active))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
 		s.loadsAt[shard] = now
 		var own []*ledger
-		total := map[string]int{}
+		byShard := map[string][]int{}
+		count := func(id, model string) {
+			if byShard[model] == nil {
+				byShard[model] = make([]int, len(alive))
+			}
+			if i := slices.Index(alive, s.shard(id)); i >= 0 {
+				byShard[model][i]++
+			}
+		}
 		for _, l := range servers {
 			if s.shard(l.entry.ID) == shard {
 				own = append(own, l)
@@ -515,25 +527,26 @@
 			}
 			for model := range l.adapters {
 				if l.serves(model) && !l.entry.Draining {
-					total[model]++
+					count(l.entry.ID, model)
 				}
 			}
 		}
 		for _, f := range foreign {
 			for text := range f.targets {
 				if strings.IndexByte(text, '/') < 0 {
-					total[text]++
+					count(f.id, text)
 				}
 			}
 		}
 		s.placeShard(planner{
-			engine:  e,
-			servers: own,
-			demands: s.demands[service],
-			now:     now,
-			shard:   slices.Index(alive, shard),
-			shards:  len(alive),
-		}, shard, total)
+			engine:    e,
+			servers:   own,
+			demands:   s.demands[service],
+			now:       now,
+			shard:     slices.Index(alive, shard),
+			shards:    len(alive),
+			elsewhere: byShard,
+		}, shard)
 	}
 }
 
@@ -555,12 +568,14 @@
 }
 
 // placeShard begins changes in one shard.
-func (s *Steward) placeShard(p planner, shard int, total map[string]int) {
+func (s *Steward) placeShard(p planner, shard int) {
 	for range _stepsPerTick {
 		p.mayCold = s.loads[shard] >= 1
-		p.total = maps.Clone(total)
+		p.unmet = nil
 		st, ok := p.next()
 		if !ok {
+			s.logUnmet(&p, shard)
+
 			return
 		}
 		l := st.server
@@ -586,6 +601,27 @@
 	}
 }
 
+// logUnmet tells what demand can't be met now.
+func (s *Steward) logUnmet(p *planner, shard int) {
+	if len(p.unmet) == 0 || p.now.Sub(s.toldUnmet[shard]) < _unmetEvery {
+		return
+	}
+	s.toldUnmet[shard] = p.now
+	held := map[string]int{}
+	for _, l := range p.servers {
+		for model := range l.adapters {
+			held[model]++
+		}
+	}
+	for _, l := range p.unmet {
+		if l.gain < _swapBase {
+			continue
+		}
+		s.cfg.Log.Write(event.StewardLacking, zap.Int("Shard", shard), zap.String("Model", l.model), zap.Int("Copies", l.copies),
+			zap.Float64("Gain", l.gain), zap.Float64("Requests", p.demand(l.model).requests), zap.Bool("MayLoad", p.mayCold), zap.Any("Held", held))
+	}
+}
+
 // changeModel gives the order for one model.
 func (s *Steward) changeModel(l *ledger, t site.Target, st step) {
 	result := s.give(l, st.load, t, st.reason)
