Take a lease one turn after its holder's last order can have been

Change: the holder tells how long it may still order; a lease that is not renewed for 1.2 s is taken at once, and orders begin a turn after the former holder's last one can have been. Shards that are alive share the rate of loads.

--- a/entry/tell.go
+++ b/entry/tell.go
@@ -205,7 +205,11 @@
 	}
 	for _, shard := range b.Shards {
 		if shard.Shard >= 0 && shard.Shard < len(e.leases) {
-			e.leases[shard.Shard].HolderHeard()
+			e.leases[shard.Shard].HolderHeard(steward.Holding{
+				Fence:   shard.Fence,
+				Version: shard.Version,
+				Left:    time.Duration(shard.LeftMS) * time.Millisecond,
+			})
 		}
 	}
 	e.steward.SetForeign(b.Held, now)
--- a/steward/lease.go
+++ b/steward/lease.go
@@ -17,19 +17,23 @@
 const Kind = "papayastair-steward"
 
 const (
-	// _renewEvery and _callTimeout leave room for two failed renewals within
-	// _leaseHold.
+	// _renewEvery, _retryEvery and _callTimeout leave room for two failed
+	// renewals within _leaseHold.
 	_renewEvery  = 800 * time.Millisecond
-	_callTimeout = 600 * time.Millisecond
+	_retryEvery  = 150 * time.Millisecond
+	_callTimeout = 500 * time.Millisecond
 	// _leaseHold is how long after asking for a renewal orders may be given.
-	_leaseHold = 2600 * time.Millisecond
+	_leaseHold = 2400 * time.Millisecond
 	// _orderMargin is how long an order may be on its way.
 	_orderMargin = 200 * time.Millisecond
 	// _holderSilence is after how long without a word of the holder another
 	// instance looks at the lease.
 	_holderSilence = 1500 * time.Millisecond
-	_lookEvery     = 500 * time.Millisecond
-	_takeMargin    = 300 * time.Millisecond
+	_lookEvery     = 300 * time.Millisecond
+	// _unrenewed is for how long a lease must stay at one version to be taken
+	// from a silent holder: one that lives renews it more often.
+	_unrenewed  = 1200 * time.Millisecond
+	_takeMargin = 300 * time.Millisecond
 )
 
 // LeaseConfig is what a Lease works with.
@@ -66,9 +70,14 @@
 	// notBefore is when the first order may be given.
 	notBefore time.Duration
 	heard     time.Duration
-	// seen is the lease as another holds it, since when it has not changed.
+	// seen is the lease's version as another holds it, since when it has not
+	// changed.
 	seen      int
 	seenSince time.Duration
+	// toldVersion and toldUntil are the version that its holder told last, and
+	// until when orders may be given by it, by this instance's clock.
+	toldVersion int
+	toldUntil   time.Duration
 }
 
 // NewLease returns a lease that is not held.
@@ -89,19 +98,37 @@
 	return l.fence, l.held && now >= l.notBefore && now < l.validTo-_orderMargin
 }
 
+// Holding is what the holder of a lease tells the others.
+type Holding struct {
+	// Fence is the fencing number.
+	Fence int
+	// Version is that of the lease's object.
+	Version int
+	// Left is for how long orders may be given without a renewal.
+	Left time.Duration
+}
+
 // Held says whether this instance is the steward, as far as it knows.
-func (l *Lease) Held() (fence int, held bool) {
+func (l *Lease) Held() (Holding, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	left := l.validTo - l.cfg.Elapsed()
 
-	return l.fence, l.held && l.cfg.Elapsed() < l.validTo
+	return Holding{
+		Fence:   l.fence,
+		Version: l.version,
+		Left:    left,
+	}, l.held && left > 0
 }
 
-// HolderHeard notes that another instance says it is the steward.
-func (l *Lease) HolderHeard() {
+// HolderHeard notes what another instance says as the steward. It said so no
+// later than now, so its time to order ends no later than Left from now.
+func (l *Lease) HolderHeard(h Holding) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = l.cfg.Elapsed()
+	l.toldVersion = h.Version
+	l.toldUntil = l.heard + h.Left
 }
 
 // Step renews the lease, or takes it if its holder is gone. It returns the
@@ -112,7 +139,9 @@
 	silence := l.cfg.Elapsed() - l.heard
 	l.mu.Unlock()
 	if held {
-		l.renew(ctx)
+		if !l.renew(ctx) {
+			return _retryEvery
+		}
 
 		return _renewEvery
 	}
@@ -136,7 +165,7 @@
 	}
 }
 
-func (l *Lease) renew(ctx context.Context) {
+func (l *Lease) renew(ctx context.Context) bool {
 	asked := l.cfg.Elapsed()
 	l.mu.Lock()
 	version := l.version
@@ -148,7 +177,7 @@
 		l.validTo = asked + _leaseHold
 		l.mu.Unlock()
 
-		return
+		return true
 	}
 	l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Renew"), zap.Error(err))
 	switch objectstore.CodeOf(err) {
@@ -156,6 +185,8 @@
 		l.settle(ctx)
 	case objectstore.CodeNotRun, objectstore.CodeGone:
 	}
+
+	return false
 }
 
 // settle reads the lease after a renewal of unknown outcome: it is still this
@@ -178,23 +209,27 @@
 }
 
 // look takes the lease if there is none, if it was released, if a former
-// start of this instance holds it, or if it has not changed for so long that
-// its holder's last order is a turn ago.
+// start of this instance holds it, or if its holder is silent and doesn't renew
+// it. Orders may be given only a turn after the former holder's last one can
+// have been.
 func (l *Lease) look(ctx context.Context) {
 	object, lease, err := l.get(ctx)
 	if err != nil && objectstore.CodeOf(err) != objectstore.CodeNotFound {
 		return
 	}
 	now := l.cfg.Elapsed()
-	wait := time.Duration(0)
+	notBefore := now
 	switch {
 	case err != nil:
 	case lease.Holder == l.cfg.Name:
 	case lease.Released:
-		wait = l.cfg.Turn + _takeMargin
-	case l.unchanged(object.Version, now):
+		notBefore = now + l.cfg.Turn + _takeMargin
 	default:
-		return
+		ends, ok := l.unrenewed(object.Version, now)
+		if !ok {
+			return
+		}
+		notBefore = ends + l.cfg.Turn + _takeMargin
 	}
 	version, err := l.put(ctx, object.Version, false)
 	if err != nil {
@@ -208,23 +243,30 @@
 	l.version = version
 	l.fence = version
 	l.validTo = now + _leaseHold
-	l.notBefore = now + wait
-	l.cfg.Log.Write(event.StewardTaken, zap.String("Lease", l.cfg.Object), zap.Int("Fence", version), zap.String("Former", lease.Holder), zap.Duration("Wait", wait))
+	l.notBefore = notBefore
+	l.cfg.Log.Write(event.StewardTaken, zap.String("Lease", l.cfg.Object), zap.Int("Fence", version), zap.String("Former", lease.Holder),
+		zap.Duration("Wait", max(0, notBefore-now)))
 }
 
-// unchanged says whether the lease has stayed at one version for so long that
-// its holder can give no order any more, and a turn longer.
-func (l *Lease) unchanged(version int, now time.Duration) bool {
+// unrenewed says whether the lease has stayed at one version for so long that
+// its holder doesn't renew it, and until when the holder may give orders by
+// that version: no longer than _leaseHold after it was first seen, nor than
+// the holder told.
+func (l *Lease) unrenewed(version int, now time.Duration) (ends time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.seen != version {
 		l.seen = version
 		l.seenSince = now
 
-		return false
+		return 0, false
+	}
+	ends = l.seenSince + _leaseHold
+	if l.toldVersion == version {
+		ends = min(ends, l.toldUntil)
 	}
 
-	return now-l.seenSince >= _leaseHold+l.cfg.Turn+_takeMargin
+	return ends, now-l.seenSince >= _unrenewed
 }
 
 func (l *Lease) get(ctx context.Context) (wire.Object, wire.StewardLease, error) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -272,12 +272,14 @@
 func (s *Steward) Held() (shards []wire.StewardShard, held []wire.ServerTargets) {
 	mine := make([]bool, len(s.cfg.Leases))
 	for i, l := range s.cfg.Leases {
-		fence, ok := l.Held()
+		h, ok := l.Held()
 		mine[i] = ok
 		if ok {
 			shards = append(shards, wire.StewardShard{
-				Shard: i,
-				Fence: fence,
+				Shard:   i,
+				Fence:   h.Fence,
+				Version: h.Version,
+				LeftMS:  int(h.Left.Milliseconds()) + 1,
 			})
 		}
 	}
@@ -507,7 +509,7 @@
 		if !active {
 			continue
 		}
-		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(s.active))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
+		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(alive))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
 		s.loadsAt[shard] = now
 		var own []*ledger
 		byShard := map[string][]int{}
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -123,8 +123,15 @@
 	// Fence is its fencing number.
 	Fence int `json:"Fence"`
 
+	// LeftMS is how long after sending the sender may give orders without renewing
+	// the lease.
+	LeftMS int `json:"LeftMS"`
+
 	// Shard is the number of the part.
 	Shard int `json:"Shard"`
+
+	// Version is that of the lease's object in the store.
+	Version int `json:"Version"`
 }
 
 type TargetDemand struct {
