See hanging backend servers by requests without a sign; use avoided ones last

Changes: a request without a sign for 600 ms counts against a server that has places; an avoided server is chosen when there is no other; adapters are ordered beside a load.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -59,8 +59,6 @@
 	ReasonNoCopy Reason = "NoCopy"
 	// ReasonFull means that all that hold it are full.
 	ReasonFull Reason = "Full"
-	// ReasonAvoided means that all that hold it fail at present.
-	ReasonAvoided Reason = "Avoided"
 )
 
 // Choice is the outcome of Choose.
@@ -73,6 +71,8 @@
 	Candidates int
 	// Load is how many requests run at the choice, as far as is known.
 	Load int
+	// Avoided says that the choice has failed lately, as all others have.
+	Avoided bool
 }
 
 // server is what the board knows of one backend server.
@@ -84,6 +84,7 @@
 	// missing are targets that it has refused as not held, with the time.
 	missing map[string]time.Time
 	running int
+	runs    map[*Run]struct{}
 	health  health
 	// pace is how long it takes, as a multiple of what is usual.
 	pace float64
@@ -135,6 +136,7 @@
 		}
 		s = &server{
 			pace:    1,
+			runs:    map[*Run]struct{}{},
 			missing: map[string]time.Time{},
 			running: running,
 		}
@@ -259,7 +261,7 @@
 	}
 	choice := Choice{Reason: ReasonNoServer}
 	best := math.Inf(1)
-	avoidAllowed := b.mayAvoid(all, now)
+	bestAvoided := true
 	for _, s := range all {
 		if s.entry.Draining || s.gone || contains(ask.Exclude, s.entry.ID) {
 			continue
@@ -269,21 +271,24 @@
 			continue
 		}
 		choice.Candidates++
-		if avoidAllowed && s.health.avoided(now) {
-			choice.Reason = worse(choice.Reason, ReasonAvoided)
-
-			continue
-		}
 		load := s.running + b.loads[s.entry.ID]
 		if float64(load) >= limit(s.entry.Slots, ask) {
 			choice.Reason = worse(choice.Reason, ReasonFull)
 
 			continue
 		}
-		if score := b.score(s, load, ask); score < best {
+		// One that is avoided is asked only if there is no other: where all
+		// fail, the answers that come are better than none.
+		avoided := s.health.avoided(now)
+		if avoided && !bestAvoided {
+			continue
+		}
+		if score := b.score(s, load, ask); score < best || bestAvoided && !avoided {
 			best = score
+			bestAvoided = avoided
 			choice.Server = &s.entry
 			choice.Load = load
+			choice.Avoided = avoided
 		}
 	}
 	if choice.Server == nil {
@@ -327,8 +332,7 @@
 	order := map[Reason]int{
 		ReasonNoServer: 0,
 		ReasonNoCopy:   1,
-		ReasonAvoided:  2,
-		ReasonFull:     3,
+		ReasonFull:     2,
 	}
 	if order[b] > order[a] {
 		return b
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -17,10 +17,12 @@
 	_avoidMost       = 4 * time.Second
 	// _failureShare is the share of failures above which it is avoided also
 	// when successes come between.
-	_failureShare  = 0.5
-	_shareMemory   = 0.8
-	_shareMinimum  = 6
-	_maxAvoidShare = 0.5
+	_failureShare = 0.5
+	_shareMemory  = 0.8
+	_shareMinimum = 6
+	// _quietMost is how long a backend server with free places may leave a
+	// request without a sign: several times what is usual.
+	_quietMost = 600 * time.Millisecond
 	// _paceMemory smooths how fast a backend server is, and _meanMemory what is
 	// usual for a model or service.
 	_paceMemory = 0.8
@@ -52,6 +54,11 @@
 // Run is a request at a backend server.
 type Run struct {
 	server *server
+	// sentAt is when it was sent, and quiet says that nothing of its answer has
+	// come; late says that this was held against the backend server.
+	sentAt time.Time
+	quiet  bool
+	late   bool
 	target string
 	// class is what its pace is compared with: the model, or the service.
 	class string
@@ -103,9 +110,12 @@
 	run := &Run{
 		target: target.String(),
 		class:  target.Model,
+		sentAt: now,
+		quiet:  true,
 	}
 	if s := b.servers[id]; s != nil {
 		s.running++
+		s.runs[run] = struct{}{}
 		run.server = s
 		if run.class == "" {
 			run.class = s.entry.Service
@@ -127,6 +137,7 @@
 	}
 	run.ended = true
 	s.running--
+	delete(s.runs, run)
 	switch result {
 	case ResultOK:
 		s.health.take(false, now)
@@ -134,7 +145,11 @@
 		s.health.take(true, now)
 	case ResultNotHeld:
 		s.missing[run.target] = now
-	case ResultNotRun, ResultLeft:
+	case ResultNotRun:
+	case ResultLeft:
+		if run.quiet && !run.late && now.Sub(run.sentAt) > _quietMost {
+			s.health.take(true, now)
+		}
 	}
 	if pace > 0 {
 		b.learnPace(s, run.class, float64(pace))
@@ -161,15 +176,28 @@
 	}
 }
 
-// mayAvoid says whether enough backend servers of a service are in order for
-// the others to be avoided: a service that fails as a whole is used as it is.
-func (b *Board) mayAvoid(all []*server, now time.Time) bool {
-	avoided := 0
-	for _, s := range all {
-		if s.health.avoided(now) {
-			avoided++
+// First notes that the answer to a request has begun.
+func (b *Board) First(run *Run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	run.quiet = false
+}
+
+// Check holds against backend servers the requests that they have left without
+// a sign for long although they had places: they hang. It is called a few times
+// a second.
+func (b *Board) Check(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		if s.running+b.loads[id] > s.entry.Slots {
+			continue
+		}
+		for run := range s.runs {
+			if run.quiet && !run.late && now.Sub(run.sentAt) > _quietMost {
+				run.late = true
+				s.health.take(true, now)
+			}
 		}
 	}
-
-	return float64(avoided) <= _maxAvoidShare*float64(len(all))
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -116,6 +116,9 @@
 		return a.noAnswer(err)
 	}
 	a.first = time.Since(a.sentAt)
+	if !answer.Events {
+		j.e.board.First(a.run)
+	}
 
 	return a.pass(head, answer)
 }
@@ -236,7 +239,7 @@
 	j.count("Served")
 	metrics.GetOrRegisterTimer("Entry.Latency."+j.route.Kind.String(), j.e.cfg.Registry).Update(total)
 	j.e.cfg.Log.Write(event.EntryServed, append(j.logFields(), zap.Int("Status", status), zap.Duration("First", a.sentAt.Sub(j.r.Arrived)+a.first),
-		zap.Duration("Pause", a.pause), zap.Int("Load", a.choice.Load), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.reused))...)
+		zap.Duration("Pause", a.pause), zap.Int("Load", a.choice.Load), zap.Bool("Avoided", a.choice.Avoided), zap.Int("Candidates", a.choice.Candidates), zap.Bool("Reused", a.reused))...)
 }
 
 // passEvents passes a stream on, event by event.
@@ -253,6 +256,7 @@
 				if !began {
 					began = true
 					a.first = time.Since(a.sentAt)
+					j.e.board.First(a.run)
 					a.beginEvents(head)
 				}
 				a.notePause()
--- a/entry/tell.go
+++ b/entry/tell.go
@@ -170,6 +170,7 @@
 			Spent:     t.Spent,
 		})
 	}
+	e.board.Check(now)
 	e.sumDemand(b.Demand, now)
 	b.Shards, b.Held = e.steward.Held()
 	e.takeHeld(b.Held)
--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		reason = "Busy"
-		if s.busy() || s.working || a.now.Before(s.pause) {
+		if s.unloading != "" || s.working || a.now.Before(s.pause) {
 			continue
 		}
 		if s.adapterCount()+a.taken[s] < a.engine.AdapterPlaces {
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -16,7 +16,7 @@
 	// _comfort is how many requests a copy serves without trouble, as a part of
 	// its engine's slots: well before the slots are taken, the prompts of new
 	// requests hold up the events of others.
-	_comfort = 0.2
+	_comfort = 0.5
 	// _worstCrowd bounds how much worse than comfort one copy can make it.
 	_worstCrowd = 5.0
 	// _unreachable is what a request for a model without a copy weighs, and
@@ -78,6 +78,11 @@
 }
 
 func (d *demand) take(w Want, now time.Time) {
+	if !d.seen {
+		// There is no trend in what is counted for the first time.
+		d.requests = w.Requests
+		d.before = w.Requests
+	}
 	if w.Requests > d.requests {
 		d.requests += _demandRise * (w.Requests - d.requests)
 	} else {
@@ -105,8 +110,8 @@
 	if k == 0 {
 		return _unreachableBase + _unreachable*r
 	}
-	crowd := min(r/(float64(k)*float64(max(slots, 1))*_comfort), _worstCrowd)
-	t := r * crowd
+	crowd := r / (float64(k) * float64(max(slots, 1)) * _comfort)
+	t := r * min(crowd*crowd, _worstCrowd)
 	if !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory {
 		t += _resilience / float64(k)
 	}
