Never unload a model's last copy from two shards at once; count servers that can't be reached as empty

Changes: of the shards with copies one keeps its last; a backend server that refuses connections counts as holding nothing; adapters that find all places in use make copies of their model worth more.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -83,9 +83,13 @@
 	told map[string]bool
 	// missing are targets that it has refused as not held, with the time.
 	missing map[string]time.Time
-	running int
-	runs    map[*Run]struct{}
-	health  health
+	// unreachable counts failed connections in a row, the last at
+	// unreachableAt.
+	unreachable   int
+	unreachableAt time.Time
+	running       int
+	runs          map[*Run]struct{}
+	health        health
 	// pace is how long it takes, as a multiple of what is usual.
 	pace float64
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -20,6 +20,10 @@
 	_failureShare = 0.5
 	_shareMemory  = 0.8
 	_shareMinimum = 6
+	// _unreachableToBeDown is how many failed connections in a row say that a
+	// backend server is down, and _downMemory for how long.
+	_unreachableToBeDown = 2
+	_downMemory          = 2 * time.Second
 	// _quietMost is how long a backend server with free places may leave a
 	// request without a sign: several times what is usual.
 	_quietMost = 600 * time.Millisecond
@@ -45,6 +49,8 @@
 	ResultNotHeld
 	// ResultFailed is no answer, or one that broke off or isn't the request's.
 	ResultFailed
+	// ResultUnreachable is a connection that could not be made.
+	ResultUnreachable
 	// ResultError is a complete answer that says that the server failed.
 	ResultError
 	// ResultLeft is a request whose caller left or whose time was over.
@@ -138,10 +144,16 @@
 	run.ended = true
 	s.running--
 	delete(s.runs, run)
+	if result == ResultUnreachable {
+		s.unreachable++
+		s.unreachableAt = now
+	} else {
+		s.unreachable = 0
+	}
 	switch result {
 	case ResultOK:
 		s.health.take(false, now)
-	case ResultFailed, ResultError:
+	case ResultFailed, ResultUnreachable, ResultError:
 		s.health.take(true, now)
 	case ResultNotHeld:
 		s.missing[run.target] = now
@@ -201,3 +213,13 @@
 		}
 	}
 }
+
+// Down says that connections to a backend server have failed lately, and none
+// has been made since.
+func (b *Board) Down(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+
+	return s != nil && s.unreachable >= _unreachableToBeDown && now.Sub(s.unreachableAt) < _downMemory
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -83,7 +83,7 @@
 	pool := j.e.pool(a.choice.Server)
 	conn, err := pool.Get(min(_dialTimeout, time.Until(j.limit)))
 	if err != nil {
-		return dispatch.ResultFailed, verdictNotRun, err
+		return dispatch.ResultUnreachable, verdictNotRun, err
 	}
 	a.conn = conn
 	a.reused = conn.Reused
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -173,6 +173,7 @@
 		Leases:  e.leases,
 		Holder:  s.Name,
 		Engine:  e.engine,
+		Down:    func(id string) bool { return e.board.Down(id, time.Now()) },
 		Give:    e.cfg.Give,
 		Report:  e.cfg.Report,
 		Changed: e.heldChanged,
--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -15,6 +16,9 @@
 	_adapterIdle = 400 * time.Millisecond
 )
 
+// _allInUse is the reason when every place is taken by an adapter in use.
+const _allInUse = "AllInUse"
+
 // adapterStep is the loading of one adapter, with what yields to it.
 type adapterStep struct {
 	server *ledger
@@ -49,13 +53,15 @@
 	var best, full *ledger
 	reason := "NoModel"
 	for _, s := range a.own {
-		if !s.known || s.entry.Draining || !s.serves(t.Model) {
+		if !s.known || s.entry.Draining || s.down || !s.serves(t.Model) {
 			continue
 		}
-		reason = "Busy"
 		if s.unloading != "" || s.working || a.now.Before(s.pause) {
+			reason = fmt.Sprintf("Busy (unloading %t, order on its way %t)", s.unloading != "", s.working)
+
 			continue
 		}
+		reason = _allInUse
 		if s.adapterCount()+a.taken[s] < a.engine.AdapterPlaces {
 			best = ahead(best, s, t)
 
--- a/steward/ledger.go
+++ b/steward/ledger.go
@@ -12,6 +12,8 @@
 // given since show.
 type ledger struct {
 	entry site.BackendServer
+	// down says that connections to it fail.
+	down bool
 	// known says that a report was read since this instance is the steward or
 	// the backend server has started.
 	known bool
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -26,6 +26,10 @@
 	// _resilience is what the loss of one of few copies weighs for a model that
 	// urgent requests have asked for lately.
 	_resilience = 4.0
+	// _starvedWeight is what an adapter weighs that finds all places in use, and
+	// _starvedMemory how fast that is forgotten, at five counts a second.
+	_starvedWeight = 6.0
+	_starvedMemory = 0.8
 	// _liveMemory is how long a model counts as asked for.
 	_liveMemory = time.Minute
 	// _swapFactor and _swapBase are by how much a copy must be worth more than
@@ -74,7 +78,9 @@
 	before   float64
 	urgentAt time.Time
 	askedAt  time.Time
-	seen     bool
+	// starved counts adapters that found all places in use lately.
+	starved float64
+	seen    bool
 }
 
 func (d *demand) take(w Want, now time.Time) {
@@ -88,6 +94,7 @@
 	} else {
 		d.requests += _demandFall * (w.Requests - d.requests)
 	}
+	d.starved *= _starvedMemory
 	d.before += _trendMemory * (d.requests - d.before)
 	if w.Requests > 0 || w.PerSecond > 0 {
 		d.askedAt = now
@@ -115,6 +122,7 @@
 	if !d.urgentAt.IsZero() && now.Sub(d.urgentAt) < _liveMemory {
 		t += _resilience / float64(k)
 	}
+	t += _starvedWeight * d.starved / float64(k)
 
 	return t
 }
@@ -204,7 +212,7 @@
 func (p *planner) copies() map[string]int {
 	own := map[string]int{}
 	for _, s := range p.servers {
-		if s.entry.Draining {
+		if s.entry.Draining || s.down {
 			continue
 		}
 		for model := range s.adapters {
@@ -249,6 +257,26 @@
 	return best == p.shard
 }
 
+// mayYield says whether a copy may go: never a model's last one, and of two
+// shards that could both take theirs for one too many, one keeps it.
+func (p *planner) mayYield(model string, copies map[string]int) bool {
+	counts := p.elsewhere[model]
+	if copies[model] <= 1 {
+		return false
+	}
+	if counts[p.shard] > 1 {
+		return true
+	}
+	first := int(xxhash.Sum64String(model) % uint64(p.shards))
+	for n := range counts {
+		if i := (first + n) % len(counts); counts[i] > 0 {
+			return i != p.shard
+		}
+	}
+
+	return false
+}
+
 // lacks orders the models by what another copy of each is worth for its memory.
 func (p *planner) lacks(copies map[string]int) []lack {
 	var out []lack
@@ -300,7 +328,7 @@
 
 // free says whether a server can take an order on models.
 func (p *planner) free(s *ledger) bool {
-	return s.known && !s.entry.Draining && !s.busy() && !s.working && !p.now.Before(s.pause)
+	return s.known && !s.entry.Draining && !s.down && !s.busy() && !s.working && !p.now.Before(s.pause)
 }
 
 // mayHost says whether a model can be loaded on a server now, room aside.
@@ -361,7 +389,7 @@
 			continue
 		}
 		for victim := range s.adapters {
-			if copies[victim] <= 1 || p.now.Sub(s.loadedAt[victim]) < _stay ||
+			if !p.mayYield(victim, copies) || p.now.Sub(s.loadedAt[victim]) < _stay ||
 				s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
 				continue
 			}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -92,6 +92,8 @@
 	Holder string
 	// Engine is the engine of a service, nil if it has none.
 	Engine func(service string) *site.Engine
+	// Down says that connections to a backend server fail.
+	Down func(id string) bool
 	// Give sends an order.
 	Give func(ctx context.Context, server site.BackendServer, o Order) (Result, error)
 	// Report reads a backend server's report.
@@ -107,6 +109,8 @@
 	service string
 	first   time.Time
 	at      time.Time
+	// told is when it was logged that there is no place.
+	told time.Time
 }
 
 // foreignView is what another steward says of a backend server.
@@ -251,15 +255,15 @@
 // Need asks for a target that requests wait for.
 func (s *Steward) Need(service string, t site.Target, now time.Time) {
 	s.mu.Lock()
-	first := now
-	if n, ok := s.needs[t]; ok {
-		first = n.first
-	}
-	s.needs[t] = need{
-		service: service,
-		first:   first,
-		at:      now,
+	n, ok := s.needs[t]
+	if !ok {
+		n = need{
+			service: service,
+			first:   now,
+		}
 	}
+	n.at = now
+	s.needs[t] = n
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -345,6 +349,7 @@
 		if s.cfg.Engine(l.entry.Service) == nil || !s.active[s.shard(id)] {
 			continue
 		}
+		l.down = s.cfg.Down(id)
 		services[l.entry.Service] = append(services[l.entry.Service], l)
 		if !l.working && (!l.known && !now.Before(l.pause) || l.busy() && !now.Before(l.due)) {
 			s.begin(l, s.readReport)
@@ -380,7 +385,7 @@
 	var out []foreignServer
 	for id, l := range s.servers {
 		view, ok := s.foreign[id]
-		if ok && now.Sub(view.at) <= _foreignMemory && l.entry.Service == service && !l.entry.Draining && !s.active[s.shard(id)] {
+		if ok && now.Sub(view.at) <= _foreignMemory && l.entry.Service == service && !l.entry.Draining && !s.cfg.Down(id) && !s.active[s.shard(id)] {
 			out = append(out, foreignServer{
 				id:      id,
 				targets: view.targets,
@@ -429,7 +434,12 @@
 		}
 		st, reason := search.place(t, now.Sub(n.first) < _needPatience)
 		if st.server == nil {
-			if reason != "Elsewhere" {
+			if d := s.demands[service][t.Model]; d != nil && reason == _allInUse {
+				d.starved++
+			}
+			if reason != "Elsewhere" && now.Sub(n.told) > _unmetEvery {
+				n.told = now
+				s.needs[t] = n
 				s.cfg.Log.Write(event.StewardNoRoom, zap.Stringer("Target", t), zap.String("Reason", reason))
 			}
 
@@ -528,7 +538,7 @@
 				continue
 			}
 			for model := range l.adapters {
-				if l.serves(model) && !l.entry.Draining {
+				if l.serves(model) && !l.entry.Draining && !l.down {
 					count(l.entry.ID, model)
 				}
 			}
