Let a new steward learn the other shards before it moves models

Cause: seconds after a start a steward knew no other shard's copies and took models for unreachable. Change: it waits a second, counts copies of shards without a word by the backend servers' entries; failed connections draw on no retry budget; requests wait twice the goal for an adapter.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -83,7 +83,7 @@
 	pool := j.e.pool(a.choice.Server)
 	conn, err := pool.Get(min(_dialTimeout, time.Until(j.limit)))
 	if err != nil {
-		return dispatch.ResultUnreachable, verdictNotRun, err
+		return dispatch.ResultUnreachable, verdictNotSent, err
 	}
 	a.conn = conn
 	a.reused = conn.Reused
@@ -91,13 +91,13 @@
 	if j.who != nil && !j.e.keysAllowed() {
 		conn.Close()
 
-		return dispatch.ResultNotRun, verdictNotRun, eris.New("configuration not shown to be current")
+		return dispatch.ResultNotRun, verdictNotSent, eris.New("configuration not shown to be current")
 	}
 	out := j.outgoing(a.choice.Server.ID)
 	if out.Left <= 0 {
 		conn.Close()
 
-		return dispatch.ResultLeft, verdictNotRun, eris.New("no time left")
+		return dispatch.ResultLeft, verdictNotSent, eris.New("no time left")
 	}
 	conn.SetDeadline(j.limit)
 	a.sentAt = time.Now()
--- a/entry/request.go
+++ b/entry/request.go
@@ -17,9 +17,10 @@
 const (
 	// _defaultLeft is how long a caller that doesn't say is taken to wait.
 	_defaultLeft = 30 * time.Second
-	// _copyPatience is the part of a route's goal that a request waits for a
-	// model or adapter to be loaded, before it is refused.
-	_copyPatience = 0.6
+	// _copyPatience is for how many times a route's goal a request waits for a
+	// model or adapter to be loaded, before it is refused: a caller who came
+	// back would not be served sooner.
+	_copyPatience = 2.0
 	// _dialTimeout is how long a connection may take before another backend
 	// server is tried.
 	_dialTimeout = 250 * time.Millisecond
@@ -267,6 +268,8 @@
 	verdictDone verdict = iota
 	// verdictNotRun means that the backend server has not run the request.
 	verdictNotRun
+	// verdictNotSent means that nothing of the request has left.
+	verdictNotSent
 	// verdictMayHaveRun means that it ran or may have run, without an answer
 	// for the caller.
 	verdictMayHaveRun
@@ -288,10 +291,11 @@
 
 			return
 		}
-		switch j.try(choice) {
+		v := j.try(choice)
+		switch v {
 		case verdictDone:
 			return
-		case verdictNotRun:
+		case verdictNotRun, verdictNotSent:
 		case verdictMayHaveRun:
 			ran = true
 			if !j.mayRepeat() {
@@ -301,7 +305,8 @@
 			}
 		}
 		j.exclude = append(j.exclude, choice.Server.ID)
-		if tries >= _maxTries || !e.board.AllowRetry(j.service, time.Now()) {
+		// What never left is no repeat for any backend server.
+		if tries >= _maxTries || v != verdictNotSent && !e.board.AllowRetry(j.service, time.Now()) {
 			j.giveUp(ran, "NoRetry")
 
 			return
--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -13,7 +13,7 @@
 const (
 	// _adapterIdle is how long an adapter must have no requests, here or on
 	// their way, to yield its place: longer than bulletins take.
-	_adapterIdle = 400 * time.Millisecond
+	_adapterIdle = 250 * time.Millisecond
 )
 
 // _allInUse is the reason when every place is taken by an adapter in use.
@@ -38,10 +38,12 @@
 	now   time.Time
 }
 
-// foreignServer is a backend server that another instance orders.
+// foreignServer is a backend server that this instance doesn't order; ordered
+// says that another one does.
 type foreignServer struct {
 	id      string
 	targets map[string]bool
+	ordered bool
 }
 
 // place finds where an adapter should be loaded: on the backend server that
@@ -93,7 +95,7 @@
 // before one found here with the rank; free says that the latter has a place.
 func (a *adapterSearch) elsewhere(t site.Target, rank uint64, free bool) bool {
 	for _, f := range a.foreign {
-		if !f.targets[t.Model] {
+		if !f.ordered || !f.targets[t.Model] {
 			continue
 		}
 		adapters := 0
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -159,6 +159,8 @@
 	// elsewhere counts the copies of each model in each of those shards; this
 	// shard's are counted anew.
 	elsewhere map[string][]int
+	// orphans counts the copies in shards without a steward.
+	orphans map[string]int
 	// unmet are the models for which nothing can be done now.
 	unmet []lack
 }
@@ -234,6 +236,7 @@
 		copy(counts, p.elsewhere[model])
 		counts[p.shard] = own[model]
 		p.elsewhere[model] = counts
+		total[model] = p.orphans[model]
 		for _, n := range counts {
 			total[model] += n
 		}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -39,6 +39,9 @@
 	_needPatience = 80 * time.Millisecond
 	// _foreignMemory is how long the word of another steward is believed.
 	_foreignMemory = 1500 * time.Millisecond
+	// _settleTime is how long a new steward leaves the models as they are, until
+	// reports have come and the other stewards are heard.
+	_settleTime = time.Second
 	// _unmetEvery is the time between two lines on demand that can't be met.
 	_unmetEvery = time.Second
 	// _loadBurst is how many loads from the weight store one shard may begin
@@ -130,6 +133,8 @@
 	needs   map[site.Target]need
 	loads   []float64
 	loadsAt []time.Time
+	// settled is from when on the models of a shard are changed.
+	settled []time.Time
 	// toldUnmet is when a shard's unmet demand was logged last.
 	toldUnmet []time.Time
 	wake      chan struct{}
@@ -146,6 +151,7 @@
 		active:    make([]bool, len(cfg.Leases)),
 		loads:     make([]float64, len(cfg.Leases)),
 		loadsAt:   make([]time.Time, len(cfg.Leases)),
+		settled:   make([]time.Time, len(cfg.Leases)),
 		toldUnmet: make([]time.Time, len(cfg.Leases)),
 		servers:   map[string]*ledger{},
 		foreign:   map[string]foreignView{},
@@ -367,6 +373,7 @@
 // orders before, so nothing is known of its backend servers.
 func (s *Steward) turn(shard int, may bool, now time.Time) {
 	s.active[shard] = may
+	s.settled[shard] = now.Add(_settleTime)
 	s.loads[shard] = 0
 	s.loadsAt[shard] = now
 	for id, l := range s.servers {
@@ -379,18 +386,25 @@
 	}
 }
 
-// others are the backend servers of a service that other stewards order, as
-// they said lately.
+// others are the backend servers of a service that other stewards order: as
+// they said lately, else as the backend servers' entries say.
 func (s *Steward) others(service string, now time.Time) []foreignServer {
 	var out []foreignServer
 	for id, l := range s.servers {
-		view, ok := s.foreign[id]
-		if ok && now.Sub(view.at) <= _foreignMemory && l.entry.Service == service && !l.entry.Draining && !s.cfg.Down(id) && !s.active[s.shard(id)] {
-			out = append(out, foreignServer{
-				id:      id,
-				targets: view.targets,
-			})
+		if l.entry.Service != service || l.entry.Draining || s.active[s.shard(id)] || s.cfg.Down(id) {
+			continue
+		}
+		f := foreignServer{id: id}
+		if view, ok := s.foreign[id]; ok && now.Sub(view.at) <= _foreignMemory {
+			f.targets = view.targets
+			f.ordered = true
+		} else {
+			f.targets = make(map[string]bool, len(l.entry.Models))
+			for _, h := range l.entry.Models {
+				f.targets[h.Model] = true
+			}
 		}
+		out = append(out, f)
 	}
 
 	return out
@@ -521,14 +535,20 @@
 		}
 		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(alive))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
 		s.loadsAt[shard] = now
+		if now.Before(s.settled[shard]) {
+			continue
+		}
 		var own []*ledger
 		byShard := map[string][]int{}
+		orphans := map[string]int{}
 		count := func(id, model string) {
 			if byShard[model] == nil {
 				byShard[model] = make([]int, len(alive))
 			}
 			if i := slices.Index(alive, s.shard(id)); i >= 0 {
 				byShard[model][i]++
+			} else {
+				orphans[model]++
 			}
 		}
 		for _, l := range servers {
@@ -558,6 +578,7 @@
 			shard:     slices.Index(alive, shard),
 			shards:    len(alive),
 			elsewhere: byShard,
+			orphans:   orphans,
 		}, shard)
 	}
 }
@@ -567,7 +588,9 @@
 	alive := make([]bool, len(s.active))
 	copy(alive, s.active)
 	for _, f := range foreign {
-		alive[s.shard(f.id)] = true
+		if f.ordered {
+			alive[s.shard(f.id)] = true
+		}
 	}
 	var out []int
 	for i, ok := range alive {
