--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -28,7 +28,7 @@
 	// _askedMemory is the time over which the asked rate is averaged.
 	_askedMemory = time.Second
 	// _heardFor is how long an instance counts as heard: a few bulletins.
-	_heardFor = time.Second
+	_heardFor = 700 * time.Millisecond
 	// _unseen is how much of the others' spending isn't known yet: the time
 	// between two bulletins, and a margin.
 	_unseen = 300 * time.Millisecond
@@ -38,25 +38,16 @@
 	// _fullBucket is the part of the burst that counts as full: a larger cost
 	// passes then.
 	_fullBucket = 0.6
-	// _slackShare and _overShare are the parts of the slack that are used; the
-	// rest covers what instances don't know of each other for a moment.
-	_slackShare = 0.75
-	_overShare  = 0.3
+	// _slackShare is the part of the slack that is used; the rest, and what the
+	// platform allows over the limit, covers what instances don't know of each
+	// other for a moment.
+	_slackShare = 0.6
 	// _minWait and _maxWait bound the time after which a refused caller is
 	// told to come back.
 	_minWait = 100 * time.Millisecond
 	_maxWait = 2 * time.Second
 )
 
-// Slack is what the platform allows beyond a limit, and what is therefore
-// divided among the instances as room for requests that come in lumps.
-type Slack struct {
-	// Tokens is a number of tokens per window, over all instances.
-	Tokens float64
-	// Over is a part of the limit.
-	Over float64
-}
-
 // Told is what an instance tells of one workspace.
 type Told struct {
 	// Asked is the recent rate that was asked for.
@@ -83,7 +74,7 @@
 // Book is this instance's view of all buckets. Use New.
 type Book struct {
 	mu         sync.Mutex
-	slack      Slack
+	slack      float64
 	workspaces map[string]*account
 	peers      map[string]*peer
 }
@@ -94,6 +85,11 @@
 	start int
 	heard time.Time
 	told  map[string]Told
+	parts map[string]float64
+}
+
+func newPeer() *peer {
+	return &peer{parts: map[string]float64{}}
 }
 
 // account is one workspace's bucket.
@@ -117,8 +113,10 @@
 	rolled time.Time
 }
 
-// New returns an empty book.
-func New(slack Slack) *Book {
+// New returns an empty book. slack is how much the platform allows in a window
+// beyond a limit, over all instances; it is divided among them as room for
+// requests that come in lumps.
+func New(slack float64) *Book {
 	return &Book{
 		slack:      slack,
 		workspaces: map[string]*account{},
@@ -135,7 +133,7 @@
 	}
 	for _, name := range names {
 		if b.peers[name] == nil {
-			b.peers[name] = &peer{}
+			b.peers[name] = newPeer()
 		}
 		b.peers[name].known = true
 	}
@@ -165,7 +163,7 @@
 			b.workspaces[w.Name] = a
 		}
 		a.fill(now)
-		a.rate = w.RatePerSecond * (1 + b.slack.Over*_overShare)
+		a.rate = w.RatePerSecond
 		a.burst = w.Burst
 	}
 	for name := range b.workspaces {
@@ -182,7 +180,7 @@
 	defer b.mu.Unlock()
 	p := b.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = newPeer()
 		b.peers[name] = p
 	}
 	for workspace, t := range told {
@@ -304,36 +302,50 @@
 	a.rolled = now
 }
 
-// divide sets the parts of each limit from all instances' demand.
+// divide sets the parts of each limit from all instances' demand. The part of
+// an instance that isn't heard stays as it was when it was heard last, and so
+// does what is left for those that are: both sides of a cut count the same.
 func (b *Book) divide(now time.Time) {
 	instances := float64(len(b.peers) + 1)
 	for name, a := range b.workspaces {
 		a.roll(now)
 		a.fill(now)
-		all, others := a.asked, 0.0
+		a.heard = 1
+		a.othersAsked = 0
+		heard := 1.0
 		for _, p := range b.peers {
-			all += p.told[name].Asked
 			if now.Sub(p.heard) <= _heardFor {
-				others += p.told[name].Asked
+				heard++
+				a.othersAsked += p.told[name].Asked
+			} else {
+				a.heard -= p.part(name, instances)
 			}
 		}
+		all := a.asked + a.othersAsked
 		part := func(asked float64) float64 {
 			if all <= 0 {
-				return 1 / instances
+				return a.heard / heard
 			}
 
-			return _evenPart/instances + (1-_evenPart)*asked/all
+			return a.heard * (_evenPart/heard + (1-_evenPart)*asked/all)
 		}
-		a.heard = 1
 		for _, p := range b.peers {
-			if now.Sub(p.heard) > _heardFor {
-				a.heard -= part(p.told[name].Asked)
+			if now.Sub(p.heard) <= _heardFor {
+				p.parts[name] = part(p.told[name].Asked)
 			}
 		}
 		a.part = part(a.asked)
-		a.heard = max(a.heard, a.part)
-		a.othersAsked = others
-		a.room = b.slack.Tokens * _slackShare / instances
+		a.room = b.slack * _slackShare / instances
 		a.fill(now)
 	}
 }
+
+// part is the part of a workspace's limit that the instance had when it was
+// heard last; an even one if it never was.
+func (p *peer) part(workspace string, instances float64) float64 {
+	if part, ok := p.parts[workspace]; ok {
+		return part
+	}
+
+	return 1 / instances
+}
--- /dev/null
+++ b/allowance/allowance_test.go
@@ -0,0 +1,249 @@
+package allowance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"papayastair.dev/papayastair/allowance"
+	"papayastair.dev/papayastair/site"
+)
+
+const (
+	testRate    = 23350.0
+	testWindow  = 8.0
+	testTick    = 20 * time.Millisecond
+	testBulltin = 200 * time.Millisecond
+)
+
+const testSlack = 7500.0
+
+// world is some instances that hear each other by bulletins.
+type world struct {
+	rng   *rand.Rand
+	books []*allowance.Book
+	start []int
+	now   time.Time
+	cut   map[int]bool
+	// admitted are the tokens admitted in each tick.
+	admitted []float64
+	asked    int
+	refused  int
+}
+
+func newWorld(seed uint64, instances int) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)),
+		now: time.Unix(1000, 0),
+		cut: map[int]bool{},
+	}
+	for range instances {
+		w.books = append(w.books, nil)
+		w.start = append(w.start, 0)
+	}
+	for i := range w.books {
+		w.restart(i)
+	}
+
+	return w
+}
+
+func (w *world) restart(i int) {
+	w.start[i]++
+	w.books[i] = allowance.New(testSlack)
+	var others []string
+	for j := range w.books {
+		if j != i {
+			others = append(others, fmt.Sprint(j))
+		}
+	}
+	w.books[i].SetPeers(others, w.now)
+	w.books[i].SetWorkspaces([]site.Workspace{{
+		Name:          "w",
+		RatePerSecond: testRate,
+		Burst:         testRate,
+		CountsTokens:  true,
+	}}, w.now)
+}
+
+// tick lets callers ask for about perSecond tokens a second, at the instances
+// that where picks.
+func (w *world) tick(perSecond float64, where func() int) {
+	w.now = w.now.Add(testTick)
+	sum := 0.0
+	for left := perSecond * testTick.Seconds(); left > 0; {
+		cost := 200 + w.rng.Float64()*1800
+		// A last part of a request comes by chance.
+		if cost > left && w.rng.Float64() > left/cost {
+			break
+		}
+		left -= cost
+		w.asked++
+		if w.books[where()].Take("w", cost, w.now).OK {
+			sum += cost
+		} else {
+			w.refused++
+		}
+	}
+	w.admitted = append(w.admitted, sum)
+	if len(w.admitted)%int(testBulltin/testTick) == 0 {
+		w.tell()
+	}
+}
+
+func (w *world) tell() {
+	for i, b := range w.books {
+		told := b.Tell(w.now)
+		for j, other := range w.books {
+			if i != j && !w.cut[i] && !w.cut[j] {
+				other.Heard(fmt.Sprint(i), w.start[i], told, w.now)
+			}
+		}
+	}
+}
+
+func (w *world) anywhere() int {
+	return w.rng.IntN(len(w.books))
+}
+
+// worst is the most that was admitted in a window.
+func (w *world) worst() float64 {
+	window := int(testWindow / testTick.Seconds())
+	sum, worst := 0.0, 0.0
+	for i, n := range w.admitted {
+		sum += n
+		if i >= window {
+			sum -= w.admitted[i-window]
+		}
+		worst = max(worst, sum)
+	}
+
+	return worst
+}
+
+const bound = (testRate*testWindow+testRate)*1.1 + 7500
+
+// TestNeverOver asks for many times the limit, from all sides or one, with
+// instances that are cut off, killed and started anew, and finds no window over
+// what the platform allows.
+func TestNeverOver(t *testing.T) {
+	tests := []struct {
+		name  string
+		asked float64
+		play  func(w *world, tick int)
+		one   bool
+	}{
+		{
+			name:  "seven times the rate",
+			asked: 7 * testRate,
+		},
+		{
+			name:  "all at one instance",
+			asked: 7 * testRate,
+			one:   true,
+		},
+		{
+			name:  "restarts",
+			asked: 4 * testRate,
+			play: func(w *world, tick int) {
+				if tick%100 == 50 {
+					w.restart(w.anywhere())
+				}
+			},
+		},
+		{
+			name:  "all restarted at once",
+			asked: 4 * testRate,
+			play: func(w *world, tick int) {
+				if tick == 700 {
+					for i := range w.books {
+						w.restart(i)
+					}
+				}
+			},
+		},
+		{
+			name:  "some cut off",
+			asked: 4 * testRate,
+			play: func(w *world, tick int) {
+				if tick%400 == 100 {
+					w.cut[w.anywhere()] = true
+				}
+				if tick%400 == 350 {
+					clear(w.cut)
+				}
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			most := 0.0
+			for seed := range uint64(20) {
+				w := newWorld(seed, 8)
+				for tick := range 1500 {
+					if tt.play != nil {
+						tt.play(w, tick)
+					}
+					where := w.anywhere
+					if tt.one {
+						where = func() int { return tick / 500 }
+					}
+					asked := tt.asked
+					if tick < 500 {
+						asked = testRate / 2
+					}
+					w.tick(asked, where)
+				}
+				most = max(most, w.worst())
+				if worst := w.worst(); worst > bound {
+					t.Errorf("seed %d: %.0f tokens in a window, at most %.0f", seed, worst, bound)
+				}
+			}
+			t.Logf("at most %.0f tokens in a window of 20 runs, %.0f are allowed", most, bound)
+		})
+	}
+}
+
+// TestNoWrongRefusals asks for half the rate in requests that are large against
+// each instance's part, and finds hardly any refused: one in a thousand at most.
+func TestNoWrongRefusals(t *testing.T) {
+	asked, refused := 0, 0
+	for seed := range uint64(10) {
+		w := newWorld(seed, 8)
+		for range 200 {
+			w.tick(0, w.anywhere)
+		}
+		for range 1500 {
+			w.tick(testRate/1.8, w.anywhere)
+		}
+		asked += w.asked
+		refused += w.refused
+	}
+	if refused*1000 > asked {
+		t.Errorf("%d of %d requests within the rate were refused", refused, asked)
+	}
+}
+
+// TestLoweredLimit lowers the limit under what is asked: within a window the
+// new one holds.
+func TestLoweredLimit(t *testing.T) {
+	w := newWorld(1, 8)
+	for range 500 {
+		w.tick(testRate, w.anywhere)
+	}
+	for _, b := range w.books {
+		b.SetWorkspaces([]site.Workspace{{
+			Name:          "w",
+			RatePerSecond: testRate / 4,
+			Burst:         testRate / 4,
+		}}, w.now)
+	}
+	w.admitted = nil
+	for range 1000 {
+		w.tick(testRate, w.anywhere)
+	}
+	if worst, most := w.worst(), (testRate/4*testWindow+testRate/4)*1.1+7500; worst > most {
+		t.Errorf("%.0f tokens in a window, at most %.0f", worst, most)
+	}
+}
--- /dev/null
+++ b/dispatch/board_test.go
@@ -0,0 +1,280 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"papayastair.dev/papayastair/dispatch"
+	"papayastair.dev/papayastair/site"
+)
+
+var testLimits = dispatch.RetryLimits{
+	Ratio:     0.2,
+	Slack:     56,
+	Window:    10 * time.Second,
+	Instances: 1,
+}
+
+var testStart = time.Unix(1000, 0)
+
+func newBoard(servers ...site.BackendServer) *dispatch.Board {
+	b := dispatch.New(rand.New(rand.NewPCG(1, 2)), testLimits)
+	for _, s := range servers {
+		b.SetServer(s)
+	}
+
+	return b
+}
+
+func engineServer(id string, models ...string) site.BackendServer {
+	s := site.BackendServer{
+		ID:      id,
+		Service: "engines",
+		Slots:   10,
+	}
+	for _, m := range models {
+		s.Models = append(s.Models, site.Holding{Model: m})
+	}
+
+	return s
+}
+
+func ask(model string, rank int) dispatch.Ask {
+	return dispatch.Ask{
+		Service: "engines",
+		Target:  site.Target{Model: model},
+		Rank:    rank,
+	}
+}
+
+// TestChoose is the table of who is chosen, and why nobody is.
+func TestChoose(t *testing.T) {
+	draining := engineServer("b", "m")
+	draining.Draining = true
+	tests := []struct {
+		name    string
+		servers []site.BackendServer
+		peers   map[string]int
+		told    map[string][]string
+		ask     dispatch.Ask
+		want    string
+		reason  dispatch.Reason
+	}{
+		{
+			name:   "no backend server",
+			ask:    ask("m", 0),
+			reason: dispatch.ReasonNoServer,
+		},
+		{
+			name:    "none holds the model",
+			servers: []site.BackendServer{engineServer("a", "n")},
+			ask:     ask("m", 0),
+			reason:  dispatch.ReasonNoCopy,
+		},
+		{
+			name:    "the steward's word goes before the entry",
+			servers: []site.BackendServer{engineServer("a", "m"), engineServer("b")},
+			told: map[string][]string{
+				"a": {},
+				"b": {"m"},
+			},
+			ask:  ask("m", 0),
+			want: "b",
+		},
+		{
+			name:    "what other instances run counts",
+			servers: []site.BackendServer{engineServer("a", "m"), engineServer("b", "m")},
+			peers:   map[string]int{"a": 5},
+			ask:     ask("m", 0),
+			want:    "b",
+		},
+		{
+			name:    "leaving ones get nothing",
+			servers: []site.BackendServer{engineServer("a", "m"), draining},
+			peers:   map[string]int{"a": 9},
+			ask:     ask("m", 0),
+			want:    "a",
+		},
+		{
+			name:    "full for bulk",
+			servers: []site.BackendServer{engineServer("a", "m")},
+			peers:   map[string]int{"a": 9},
+			ask:     ask("m", 2),
+			reason:  dispatch.ReasonFull,
+		},
+		{
+			name:    "not full for urgent ones",
+			servers: []site.BackendServer{engineServer("a", "m")},
+			peers:   map[string]int{"a": 14},
+			ask:     ask("m", 0),
+			want:    "a",
+		},
+		{
+			name:    "excluded",
+			servers: []site.BackendServer{engineServer("a", "m")},
+			ask: dispatch.Ask{
+				Service: "engines",
+				Target:  site.Target{Model: "m"},
+				Exclude: []string{"a"},
+			},
+			reason: dispatch.ReasonNoServer,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBoard(tt.servers...)
+			b.SetPeer("other", tt.peers, testStart)
+			for id, targets := range tt.told {
+				b.SetTold(id, targets)
+			}
+			choice := b.Choose(tt.ask, testStart)
+			got := ""
+			if choice.Server != nil {
+				got = choice.Server.ID
+			}
+			if diff := cmp.Diff([]string{tt.want, string(tt.reason)}, []string{got, string(choice.Reason)}); diff != "" {
+				t.Errorf("server and reason (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestGreyServer plays a backend server that fails half of its requests, or
+// leaves them without a sign, beside a sound one: it is avoided, asked again
+// after a while, and used when it is the only one.
+func TestGreyServer(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(b *dispatch.Board, id string, now time.Time)
+	}{
+		{
+			name: "failures",
+			fail: func(b *dispatch.Board, id string, now time.Time) {
+				for i := range 12 {
+					result := dispatch.ResultFailed
+					if i%3 == 0 {
+						result = dispatch.ResultOK
+					}
+					b.End(b.Begin(id, site.Target{Model: "m"}, now), result, 0, now)
+				}
+			},
+		},
+		{
+			name: "no sign",
+			fail: func(b *dispatch.Board, id string, now time.Time) {
+				for range 4 {
+					b.Begin(id, site.Target{Model: "m"}, now.Add(-time.Second))
+				}
+				b.Check(now)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBoard(engineServer("a", "m"), engineServer("b", "m"))
+			tt.fail(b, "a", testStart)
+			for range 20 {
+				if c := b.Choose(ask("m", 0), testStart); c.Server.ID != "b" {
+					t.Fatalf("chose %s, want b", c.Server.ID)
+				}
+			}
+			b.SetPeer("other", map[string]int{"b": 20}, testStart)
+			if c := b.Choose(ask("m", 0), testStart); c.Server == nil || c.Server.ID != "a" || !c.Avoided {
+				t.Errorf("with b full: %+v, want a as a last resort", c)
+			}
+			later := testStart.Add(5 * time.Second)
+			b.SetPeer("other", map[string]int{"b": 9}, later)
+			if c := b.Choose(ask("m", 0), later); c.Server == nil || c.Server.ID != "a" || c.Avoided {
+				t.Errorf("later: %+v, want a again", c)
+			}
+		})
+	}
+}
+
+// TestSlowServer plays engines of speeds 0.6 and 1.6: the slow one gets fewer
+// requests at once.
+func TestSlowServer(t *testing.T) {
+	b := newBoard(engineServer("fast", "m"), engineServer("slow", "m"))
+	paces := map[string]time.Duration{
+		"fast": 20 * time.Millisecond,
+		"slow": 53 * time.Millisecond,
+	}
+	var running []*dispatch.Run
+	var order []string
+	counts := map[string]int{}
+	for i := range 2000 {
+		now := testStart.Add(time.Duration(i) * 10 * time.Millisecond)
+		c := b.Choose(ask("m", 0), now)
+		running = append(running, b.Begin(c.Server.ID, site.Target{Model: "m"}, now))
+		order = append(order, c.Server.ID)
+		if i >= 1000 {
+			counts[c.Server.ID]++
+		}
+		if len(running) > 10 {
+			b.End(running[0], dispatch.ResultOK, paces[order[0]], now)
+			running, order = running[1:], order[1:]
+		}
+	}
+	if counts["slow"]*2 > counts["fast"]*3/2 {
+		t.Errorf("slow got %d of 1000 requests, fast %d", counts["slow"], counts["fast"])
+	}
+}
+
+// TestRetryBudget finds that the instances together never send more repeats in
+// any window than the limit, also when each has saved up.
+func TestRetryBudget(t *testing.T) {
+	const instances = 8
+	limits := testLimits
+	limits.Instances = instances
+	boards := make([]*dispatch.Board, instances)
+	for i := range boards {
+		boards[i] = dispatch.New(rand.New(rand.NewPCG(uint64(i), 2)), limits)
+	}
+	const step = 100 * time.Millisecond
+	window := int(limits.Window / step)
+	var requests, repeats []int
+	for i := range 600 {
+		now := testStart.Add(time.Duration(i) * step)
+		asked, sent := 0, 0
+		for _, b := range boards {
+			for range 2 {
+				asked++
+				b.CountRequest("s", now)
+				for b.AllowRetry("s", now) {
+					sent++
+				}
+			}
+		}
+		requests = append(requests, asked)
+		repeats = append(repeats, sent)
+		if i < window {
+			continue
+		}
+		in, out := 0, 0
+		for k := i - window + 1; k <= i; k++ {
+			in += requests[k]
+			out += repeats[k]
+		}
+		if most := limits.Ratio*float64(in) + limits.Slack; float64(out) > most {
+			t.Fatalf("at step %d: %d repeats in a window, at most %g", i, out, most)
+		}
+	}
+}
+
+// TestUnreachable finds that a backend server whose connections fail counts as
+// down until one is made.
+func TestUnreachable(t *testing.T) {
+	b := newBoard(engineServer("a", "m"))
+	end := func(result dispatch.Result) bool {
+		b.End(b.Begin("a", site.Target{Model: "m"}, testStart), result, 0, testStart)
+
+		return b.Down("a", testStart)
+	}
+	got := []bool{end(dispatch.ResultUnreachable), end(dispatch.ResultUnreachable), end(dispatch.ResultOK)}
+	if diff := cmp.Diff([]bool{false, true, false}, got); diff != "" {
+		t.Errorf("down (-want +got):\n%s", diff)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,7 +78,9 @@
 	current  atomic.Pointer[site.Configuration]
 	evidence evidence
 	leaving  atomic.Bool
-	limits   atomic.Pointer[site.Limits]
+	// serversKnown says that the backend servers' entries were read.
+	serversKnown atomic.Bool
+	limits       atomic.Pointer[site.Limits]
 
 	records recordBook
 	mu      sync.Mutex
@@ -105,10 +107,7 @@
 			Window:    cfg.Settings.Bounds.RetryWindow,
 			Instances: 1,
 		}),
-		book: allowance.New(allowance.Slack{
-			Tokens: cfg.Settings.Bounds.LimitSlack,
-			Over:   cfg.Settings.Bounds.LimitOver,
-		}),
+		book:    allowance.New(cfg.Settings.Bounds.LimitSlack),
 		demand:  newDemandCounter(),
 		pools:   map[string]*hop.Pool{},
 		needs:   map[string]time.Time{},
@@ -182,9 +181,10 @@
 		Log:     e.cfg.Log,
 	})
 	for address, handle := range map[string]func(r *hop.Request){
-		s.CallerAddress: e.handle,
-		s.ReadyAddress:  e.handleReady,
-		s.LocateAddress: e.handleLocate,
+		s.CallerAddress:  e.handle,
+		s.ReadyAddress:   e.handleReady,
+		s.LocateAddress:  e.handleLocate,
+		s.MetricsAddress: e.handleMetrics,
 	} {
 		if address == "" {
 			continue
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -166,6 +166,7 @@
 		Store:   f.wrap(e.cfg.Store("Servers", _entryWait)),
 		Kind:    d.ServerKind,
 		Changed: f.changed,
+		Current: func(int) { e.serversKnown.Store(true) },
 		Gather:  _entryGather,
 		Log:     e.cfg.Log,
 	})
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -22,9 +22,9 @@
 }
 
 // isReady says whether callers should come here: the configuration is known
-// and shown to be current, and the instance stays.
+// and shown to be current, so are the backend servers, and the instance stays.
 func (e *Entry) isReady() bool {
-	return e.current.Load() != nil && !e.leaving.Load() && e.keysAllowed()
+	return e.current.Load() != nil && e.serversKnown.Load() && !e.leaving.Load() && e.keysAllowed()
 }
 
 func (e *Entry) handleReady(r *hop.Request) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -14,6 +14,8 @@
 	CallerAddress string
 	ReadyAddress  string
 	LocateAddress string
+	// MetricsAddress is the IP:port for counters and the status, empty for none.
+	MetricsAddress string
 	// PeerAddress is the IP:port for bulletins.
 	PeerAddress string
 	// StoreAddress is the IP:port of the platform's store.
@@ -41,10 +43,9 @@
 	// EntryReturn is how long after an outage of the store backend servers'
 	// entries may still be missing.
 	EntryReturn time.Duration
-	// LimitSlack and LimitOver are what a workspace may get beyond its limit in
-	// a window: a number in the limit's unit, and a part of the limit.
+	// LimitSlack is what a workspace may get beyond its limit in a window, in the
+	// limit's unit.
 	LimitSlack float64
-	LimitOver  float64
 	// Retry bounds repeats at backend servers.
 	RetryRatio  float64
 	RetrySlack  float64
--- a/event/entry.go
+++ b/event/entry.go
@@ -9,6 +9,7 @@
 	EntryLeaving       = declare(6001, "EntryLeaving", zapcore.InfoLevel, "The process was told to stop; callers are sent elsewhere, and what runs is finished.")
 	EntryStopped       = declare(6002, "EntryStopped", zapcore.InfoLevel, "The process ends; with the requests that were still open.")
 	SettingsReread     = declare(6003, "SettingsReread", zapcore.InfoLevel, "The settings file was read again at a signal; addresses and bounds hold from the next start.")
+	LogDropped         = declare(6004, "LogDropped", zapcore.WarnLevel, "Lines of the log were dropped since the last line, because they could not be written in time; with their number.")
 	EntryServed        = declare(6010, "EntryServed", zapcore.InfoLevel, "A request was answered by a backend server; with the choice and its times.")
 	EntryRefused       = declare(6011, "EntryRefused", zapcore.InfoLevel, "A request was refused and has not run; with the reason.")
 	EntryFailed        = declare(6012, "EntryFailed", zapcore.WarnLevel, "A request ran or may have run and has no complete answer; with the reason.")
--- a/event/event.go
+++ b/event/event.go
@@ -6,7 +6,6 @@
 
 import (
 	"os"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -62,36 +61,6 @@
 	return &Log{zap: logger}, nil
 }
 
-const (
-	// _streamBuffer bounds the lines that wait to be written.
-	_streamBuffer = 128 << 10
-	// _streamFlush is how late a line may be.
-	_streamFlush = 500 * time.Millisecond
-)
-
-// OpenStream returns a log that writes JSON lines to w through a bounded
-// buffer, so that a line costs no call of the system.
-func OpenStream(w zapcore.WriteSyncer, instance string) *Log {
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.TimeKey = "Time"
-	cfg.LevelKey = "Level"
-	cfg.MessageKey = "Event"
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncodeDuration = zapcore.MillisDurationEncoder
-	out := &zapcore.BufferedWriteSyncer{
-		WS:            w,
-		Size:          _streamBuffer,
-		FlushInterval: _streamFlush,
-	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel)
-
-	return &Log{
-		zap:   zap.New(core).With(zap.String("Instance", instance)),
-		stop:  out.Stop,
-		brief: true,
-	}
-}
-
 // Write writes one event with its fields, whose keys are in Pascal case.
 func (l *Log) Write(kind *Kind, fields ...zap.Field) {
 	if l == nil || l.zap == nil {
