Let an instance that hears nobody find out that it doesn't

Cause of the red case: parts were divided anew only when a bulletin came, so an instance that was cut off never saw that the others were silent and kept the whole bucket. Change: they are divided with each bulletin of its own.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -205,10 +205,12 @@
 	b.divide(now)
 }
 
-// Tell is what this instance tells the others.
+// Tell is what this instance tells the others. It must be called a few times a
+// second, also by an instance that hears nobody: it finds out who is silent.
 func (b *Book) Tell(now time.Time) map[string]Told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.divide(now)
 	out := make(map[string]Told, len(b.workspaces))
 	for name, a := range b.workspaces {
 		a.roll(now)
