Refuse what may outlast an instance that was told to stop

Ruled out: a longer stay (the platform ends the process). Change: from 2.8 s after the stop on, only what is surely over before the end is taken; the rest is refused as not run, to come back in 50 ms. TestLateWhileLeaving fails without it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,10 @@
 	// _stewardStagger is between instances that look for a free lease.
 	_stewardStagger = 300 * time.Millisecond
 	_stewardMost    = 1500 * time.Millisecond
+	// _leaveServes is for how long after the request to stop anything is still
+	// taken; after it only what is surely over before the end. The users' rules
+	// excuse a cut at the end for requests sent within 3 s.
+	_leaveServes = 2800 * time.Millisecond
 	// _ttlsKept is for how many times its time to live callers may keep an
 	// answer to where they should go.
 	_ttlsKept = 3
@@ -78,6 +82,8 @@
 	current  atomic.Pointer[site.Configuration]
 	evidence evidence
 	leaving  atomic.Bool
+	// leftAt is when the process was told to stop, by timer.Elapsed.
+	leftAt atomic.Int64
 	// serversKnown says that the backend servers' entries were read.
 	serversKnown atomic.Bool
 	limits       atomic.Pointer[site.Limits]
@@ -208,6 +214,7 @@
 // when nothing runs and no caller is left, or when the time to stop is over.
 func (e *Entry) Leave() {
 	began := timer.Elapsed()
+	e.leftAt.Store(int64(began))
 	e.leaving.Store(true)
 	e.cfg.Log.Write(event.EntryLeaving, zap.Int("Busy", e.busy()))
 	e.hub.Push()
@@ -226,6 +233,14 @@
 	}
 }
 
+// endsIn is for how long the process will serve, and whether it still takes
+// what may last longer.
+func (e *Entry) endsIn() (left time.Duration, takesAll bool) {
+	passed := timer.Elapsed() - time.Duration(e.leftAt.Load())
+
+	return e.cfg.Settings.Bounds.Grace - _leaveMargin - passed, !e.leaving.Load() || passed < _leaveServes
+}
+
 // busy is how many requests wait for their answers.
 func (e *Entry) busy() int {
 	n := 0
--- a/entry/request.go
+++ b/entry/request.go
@@ -29,6 +29,9 @@
 	_maxTries = 4
 	// _needEvery is how often a waiting request renews its need.
 	_needEvery = 100 * time.Millisecond
+	// _leaveRetry is when a caller refused by an instance that ends should come
+	// back, to another one.
+	_leaveRetry = 50 * time.Millisecond
 	// _retryLeast and _retrySpread are the time after which refused callers
 	// are told to come back: spread, so that they don't come together.
 	_retryLeast  = 200 * time.Millisecond
@@ -174,6 +177,12 @@
 		}
 	}
 	j.setLimit()
+	if left, all := e.endsIn(); !all && time.Until(j.limit) > left {
+		j.r.CloseAfter()
+		j.refuse(503, "Leaving", _leaveRetry)
+
+		return false
+	}
 	j.service = pickShare(j.route.Shares, j.call.ID)
 	if j.call.Target.Model != "" {
 		e.demand.arrive(j.demandKey(), j.rank)
