Let an idle model's last copy yield to a busy model that has none

Change: of two models of which one can't be reached either way, the busy one gets the place; which copy yields no longer depends on map order (found by TestNext).

--- a/steward/plan.go
+++ b/steward/plan.go
@@ -146,7 +146,7 @@
 
 // planner says what to change now in one shard: the copy that is worth most
 // for its memory is loaded, where there is room, or where copies worth less
-// yield. A model's last copy never yields.
+// yield.
 type planner struct {
 	engine  *site.Engine
 	servers []*ledger
@@ -262,12 +262,13 @@
 	return best == p.shard
 }
 
-// mayYield says whether a copy may go: never a model's last one, and of two
+// mayYield says whether a copy may go: a model's last one only for a model that
+// has none itself, as one of the two can't be reached either way; and of two
 // shards that could both take theirs for one too many, one keeps it.
-func (p *planner) mayYield(model string, copies map[string]int) bool {
+func (p *planner) mayYield(model string, l lack, copies map[string]int) bool {
 	counts := p.elsewhere[model]
 	if copies[model] <= 1 {
-		return false
+		return l.copies == 0
 	}
 	if counts[p.shard] > 1 {
 		return true
@@ -393,8 +394,8 @@
 		if !p.mayHost(s, l.model) {
 			continue
 		}
-		for victim := range s.adapters {
-			if !p.mayYield(victim, copies) || p.now.Sub(s.loadedAt[victim]) < _stay ||
+		for _, victim := range slices.Sorted(maps.Keys(s.adapters)) {
+			if !p.mayYield(victim, l, copies) || p.now.Sub(s.loadedAt[victim]) < _stay ||
 				s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
 				continue
 			}
@@ -402,7 +403,8 @@
 			if s.atHand[l.model] {
 				loss *= _atHandFactor
 			}
-			if loss < bestLoss || loss == bestLoss && s.entry.ID < best.server.entry.ID {
+			// Of equals the one with the most copies goes.
+			if loss < bestLoss || loss == bestLoss && copies[victim] > copies[best.model] {
 				bestLoss = loss
 				best = step{
 					server: s,
