Use what is allowed over a limit while all instances are heard

Cause: a workspace over its lowered limit got just the limit, where the platform allows a tenth more in a window. Change: nine tenths of that are used while no instance is silent.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -38,10 +38,12 @@
 	// _fullBucket is the part of the burst that counts as full: a larger cost
 	// passes then.
 	_fullBucket = 0.6
-	// _slackShare is the part of the slack that is used; the rest, and what the
-	// platform allows over the limit, covers what instances don't know of each
-	// other for a moment.
+	// _slackShare is the part of the slack that is used; the rest covers what
+	// instances don't know of each other for a moment.
 	_slackShare = 0.6
+	// _overShare is the part of what the platform allows over the limit that is
+	// used while all instances are heard; none is while one is silent.
+	_overShare = 0.9
 	// _minWait and _maxWait bound the time after which a refused caller is
 	// told to come back.
 	_minWait = 100 * time.Millisecond
@@ -75,6 +77,7 @@
 type Book struct {
 	mu         sync.Mutex
 	slack      float64
+	over       float64
 	workspaces map[string]*account
 	peers      map[string]*peer
 }
@@ -94,6 +97,8 @@
 
 // account is one workspace's bucket.
 type account struct {
+	limit float64
+	// rate is the limit with what is allowed over it at present.
 	rate  float64
 	burst float64
 	// at is when level and own were last filled.
@@ -113,12 +118,13 @@
 	rolled time.Time
 }
 
-// New returns an empty book. slack is how much the platform allows in a window
-// beyond a limit, over all instances; it is divided among them as room for
-// requests that come in lumps.
-func New(slack float64) *Book {
+// New returns an empty book. over is the part of a limit that the platform
+// allows on top of it in a window, and slack how much beyond that, over all
+// instances; it is divided among them as room for requests that come in lumps.
+func New(over, slack float64) *Book {
 	return &Book{
 		slack:      slack,
+		over:       over,
 		workspaces: map[string]*account{},
 		peers:      map[string]*peer{},
 	}
@@ -163,7 +169,7 @@
 			b.workspaces[w.Name] = a
 		}
 		a.fill(now)
-		a.rate = w.RatePerSecond
+		a.limit = w.RatePerSecond
 		a.burst = w.Burst
 	}
 	for name := range b.workspaces {
@@ -230,7 +236,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.workspaces[workspace]
-	if a == nil || a.rate <= 0 {
+	if a == nil || a.limit <= 0 {
 		return Decision{OK: true}
 	}
 	a.roll(now)
@@ -323,6 +329,10 @@
 				a.heard -= p.part(name, instances)
 			}
 		}
+		a.rate = a.limit
+		if int(heard) == len(b.peers)+1 {
+			a.rate *= 1 + b.over*_overShare
+		}
 		all := a.asked + a.othersAsked
 		part := func(asked float64) float64 {
 			if all <= 0 {
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -17,7 +17,10 @@
 	testBulltin = 200 * time.Millisecond
 )
 
-const testSlack = 7500.0
+const (
+	testOver  = 0.1
+	testSlack = 7500.0
+)
 
 // world is some instances that hear each other by bulletins.
 type world struct {
@@ -51,7 +54,7 @@
 
 func (w *world) restart(i int) {
 	w.start[i]++
-	w.books[i] = allowance.New(testSlack)
+	w.books[i] = allowance.New(testOver, testSlack)
 	var others []string
 	for j := range w.books {
 		if j != i {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,7 +113,7 @@
 			Window:    cfg.Settings.Bounds.RetryWindow,
 			Instances: 1,
 		}),
-		book:    allowance.New(cfg.Settings.Bounds.LimitSlack),
+		book:    allowance.New(cfg.Settings.Bounds.LimitOver, cfg.Settings.Bounds.LimitSlack),
 		demand:  newDemandCounter(),
 		pools:   map[string]*hop.Pool{},
 		needs:   map[string]time.Time{},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -43,8 +43,9 @@
 	// EntryReturn is how long after an outage of the store backend servers'
 	// entries may still be missing.
 	EntryReturn time.Duration
-	// LimitSlack is what a workspace may get beyond its limit in a window, in the
-	// limit's unit.
+	// LimitOver is the part of its limit that a workspace may get on top of it in
+	// a window, and LimitSlack how much beyond that, in the limit's unit.
+	LimitOver  float64
 	LimitSlack float64
 	// Retry bounds repeats at backend servers.
 	RetryRatio  float64
