Hold the turn between stewards also after a take of unknown outcome

Ruled out: the store's condition (the version held). Change: the lease says that its holder still waits; whoever finds its own or a released lease so waits for a whole lease and a turn.

--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -42,10 +42,10 @@
 	return s
 }
 
-func ask(model string, rank int) dispatch.Ask {
+func ask(rank int) dispatch.Ask {
 	return dispatch.Ask{
 		Service: "engines",
-		Target:  site.Target{Model: model},
+		Target:  site.Target{Model: "m"},
 		Rank:    rank,
 	}
 }
@@ -65,13 +65,13 @@
 	}{
 		{
 			name:   "no backend server",
-			ask:    ask("m", 0),
+			ask:    ask(0),
 			reason: dispatch.ReasonNoServer,
 		},
 		{
 			name:    "none holds the model",
 			servers: []site.BackendServer{engineServer("a", "n")},
-			ask:     ask("m", 0),
+			ask:     ask(0),
 			reason:  dispatch.ReasonNoCopy,
 		},
 		{
@@ -81,35 +81,35 @@
 				"a": {},
 				"b": {"m"},
 			},
-			ask:  ask("m", 0),
+			ask:  ask(0),
 			want: "b",
 		},
 		{
 			name:    "what other instances run counts",
 			servers: []site.BackendServer{engineServer("a", "m"), engineServer("b", "m")},
 			peers:   map[string]int{"a": 5},
-			ask:     ask("m", 0),
+			ask:     ask(0),
 			want:    "b",
 		},
 		{
 			name:    "leaving ones get nothing",
 			servers: []site.BackendServer{engineServer("a", "m"), draining},
 			peers:   map[string]int{"a": 9},
-			ask:     ask("m", 0),
+			ask:     ask(0),
 			want:    "a",
 		},
 		{
 			name:    "full for bulk",
 			servers: []site.BackendServer{engineServer("a", "m")},
 			peers:   map[string]int{"a": 9},
-			ask:     ask("m", 2),
+			ask:     ask(2),
 			reason:  dispatch.ReasonFull,
 		},
 		{
 			name:    "not full for urgent ones",
 			servers: []site.BackendServer{engineServer("a", "m")},
 			peers:   map[string]int{"a": 14},
-			ask:     ask("m", 0),
+			ask:     ask(0),
 			want:    "a",
 		},
 		{
@@ -177,17 +177,17 @@
 			b := newBoard(engineServer("a", "m"), engineServer("b", "m"))
 			tt.fail(b, "a", testStart)
 			for range 20 {
-				if c := b.Choose(ask("m", 0), testStart); c.Server.ID != "b" {
+				if c := b.Choose(ask(0), testStart); c.Server.ID != "b" {
 					t.Fatalf("chose %s, want b", c.Server.ID)
 				}
 			}
 			b.SetPeer("other", map[string]int{"b": 20}, testStart)
-			if c := b.Choose(ask("m", 0), testStart); c.Server == nil || c.Server.ID != "a" || !c.Avoided {
+			if c := b.Choose(ask(0), testStart); c.Server == nil || c.Server.ID != "a" || !c.Avoided {
 				t.Errorf("with b full: %+v, want a as a last resort", c)
 			}
 			later := testStart.Add(5 * time.Second)
 			b.SetPeer("other", map[string]int{"b": 9}, later)
-			if c := b.Choose(ask("m", 0), later); c.Server == nil || c.Server.ID != "a" || c.Avoided {
+			if c := b.Choose(ask(0), later); c.Server == nil || c.Server.ID != "a" || c.Avoided {
 				t.Errorf("later: %+v, want a again", c)
 			}
 		})
@@ -207,7 +207,7 @@
 	counts := map[string]int{}
 	for i := range 2000 {
 		now := testStart.Add(time.Duration(i) * 10 * time.Millisecond)
-		c := b.Choose(ask("m", 0), now)
+		c := b.Choose(ask(0), now)
 		running = append(running, b.Begin(c.Server.ID, site.Target{Model: "m"}, now))
 		order = append(order, c.Server.ID)
 		if i >= 1000 {
--- a/entry/request.go
+++ b/entry/request.go
@@ -183,7 +183,7 @@
 
 		return false
 	}
-	j.service = pickShare(j.route.Shares, j.call.ID)
+	j.service = pickShare(j.route.Shares)
 	if j.call.Target.Model != "" {
 		e.demand.arrive(j.demandKey(), j.rank)
 	}
@@ -247,8 +247,8 @@
 	}
 }
 
-// pickShare picks a service by weight, the same for the same id.
-func pickShare(shares []site.Share, id string) string {
+// pickShare picks a service by weight.
+func pickShare(shares []site.Share) string {
 	if len(shares) == 0 {
 		return ""
 	}
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -197,7 +197,8 @@
 // Send writes a request: the method and target of head, the fields given, and
 // the body. After an error the request may have arrived.
 func (c *Conn) Send(head *Head, fields []Field, body []byte, framed bool) error {
-	out := append(c.out[:0], head.Method...)
+	out := c.out[:0]
+	out = append(out, head.Method...)
 	out = append(out, ' ')
 	out = append(out, head.Target...)
 	out = append(out, " HTTP/1.1\r\n"...)
--- a/hop/body.go
+++ b/hop/body.go
@@ -71,11 +71,6 @@
 	return n, err
 }
 
-// buffered says that next will not wait.
-func (b *body) buffered() bool {
-	return b.br.Buffered() > 0
-}
-
 // nextChunk reads the line before a chunk, and the trailer after the last.
 func (b *body) nextChunk() error {
 	if b.began {
--- a/hop/server.go
+++ b/hop/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -368,7 +369,7 @@
 		r.out = append(r.out, "\r\n"...)
 	}
 	r.out = append(r.out, "\r\n"...)
-	if r.Head.Method != "HEAD" {
+	if r.Head.Method != http.MethodHead {
 		r.out = append(r.out, body...)
 	}
 	r.flush()
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -159,7 +159,7 @@
 }
 
 func (w *Worker) models() []map[string]any {
-	out := []map[string]any{}
+	out := make([]map[string]any, 0, len(w.held))
 	for m, adapters := range w.held {
 		out = append(out, map[string]any{
 			"name":     m,
--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -47,6 +47,18 @@
 	ordered bool
 }
 
+// models are the models that it serves.
+func (f *foreignServer) models() []string {
+	var out []string
+	for text := range f.targets {
+		if strings.IndexByte(text, '/') < 0 {
+			out = append(out, text)
+		}
+	}
+
+	return out
+}
+
 // place finds where an adapter should be loaded: on the backend server that
 // holds its model and comes first by a hash of both, so that the same adapters
 // stay together and all instances agree; one with a free place if there is
--- a/steward/lease.go
+++ b/steward/lease.go
@@ -155,12 +155,12 @@
 // Release lets another instance take the lease at once.
 func (l *Lease) Release(ctx context.Context) {
 	l.mu.Lock()
-	held, version := l.held, l.version
+	held, version, waiting := l.held, l.version, l.cfg.Elapsed() < l.notBefore
 	l.held = false
 	l.mu.Unlock()
 	if held {
 		// Not released, the lease runs out by itself.
-		_, err := l.put(ctx, version, true)
+		_, err := l.put(ctx, version, waiting, true)
 		l.logLost("Released", err)
 	}
 }
@@ -168,9 +168,9 @@
 func (l *Lease) renew(ctx context.Context) bool {
 	asked := l.cfg.Elapsed()
 	l.mu.Lock()
-	version := l.version
+	version, waiting := l.version, asked < l.notBefore
 	l.mu.Unlock()
-	next, err := l.put(ctx, version, false)
+	next, err := l.put(ctx, version, waiting, false)
 	if err == nil {
 		l.mu.Lock()
 		l.version = next
@@ -221,6 +221,10 @@
 	notBefore := now
 	switch {
 	case err != nil:
+	case lease.Waiting && (lease.Holder == l.cfg.Name || lease.Released):
+		// Whoever held it before may have given orders for as long as a lease
+		// lasts after it was taken.
+		notBefore = now + _leaseHold + l.cfg.Turn + _takeMargin
 	case lease.Holder == l.cfg.Name:
 	case lease.Released:
 		notBefore = now + l.cfg.Turn + _takeMargin
@@ -231,7 +235,7 @@
 		}
 		notBefore = ends + l.cfg.Turn + _takeMargin
 	}
-	version, err := l.put(ctx, object.Version, false)
+	version, err := l.put(ctx, object.Version, notBefore > now, false)
 	if err != nil {
 		l.cfg.Log.Write(event.StewardFailed, zap.String("Lease", l.cfg.Object), zap.String("Call", "Take"), zap.Error(err))
 
@@ -289,7 +293,7 @@
 	return object, lease, nil
 }
 
-func (l *Lease) put(ctx context.Context, version int, released bool) (int, error) {
+func (l *Lease) put(ctx context.Context, version int, waiting, released bool) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
 	l.mu.Lock()
@@ -298,6 +302,7 @@
 		Holder:   l.cfg.Name,
 		Start:    l.cfg.Start,
 		Sequence: l.sequence,
+		Waiting:  waiting,
 		Released: released,
 	}
 	l.mu.Unlock()
--- a/steward/ledger.go
+++ b/steward/ledger.go
@@ -65,6 +65,18 @@
 	return l.serves(t.Model) && (t.Adapter == "" || l.adapters[t.Model][t.Adapter])
 }
 
+// models are the models that it serves.
+func (l *ledger) models() []string {
+	var out []string
+	for model := range l.adapters {
+		if l.serves(model) {
+			out = append(out, model)
+		}
+	}
+
+	return out
+}
+
 // adapterCount is how many adapter places are taken.
 func (l *ledger) adapterCount() int {
 	n := 0
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -247,6 +247,22 @@
 	return total
 }
 
+// countElsewhere counts copies in another shard, or in one without a steward
+// if its index is negative.
+func (p *planner) countElsewhere(shard int, models []string) {
+	for _, model := range models {
+		if shard < 0 {
+			p.orphans[model]++
+
+			continue
+		}
+		if p.elsewhere[model] == nil {
+			p.elsewhere[model] = make([]int, p.shards)
+		}
+		p.elsewhere[model][shard]++
+	}
+}
+
 // isNext says whether this shard is where the next copy of a model should go:
 // the one with the fewest, beginning with one that depends on the model.
 func (p *planner) isNext(model string) bool {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -237,32 +237,39 @@
 			sum.PerSecond += w.PerSecond
 			sum.Urgent = sum.Urgent || w.Urgent
 			models[t.Model] = sum
-			if t.Adapter == "" || w.Running == 0 {
-				continue
+			if t.Adapter != "" && w.Running > 0 {
+				s.noteUse(service, t, now)
 			}
-			for _, l := range s.servers {
-				if l.entry.Service == service && l.holds(t) {
-					l.used[t] = now
-				}
-			}
-		}
-		known := s.demands[service]
-		if known == nil {
-			known = map[string]*demand{}
-			s.demands[service] = known
 		}
-		for model, w := range models {
-			if known[model] == nil {
-				known[model] = &demand{}
-			}
-			known[model].take(w, now)
+		s.takeDemand(service, models, now)
+	}
+}
+
+// noteUse keeps when an adapter was used last, wherever it is held.
+func (s *Steward) noteUse(service string, t site.Target, now time.Time) {
+	for _, l := range s.servers {
+		if l.entry.Service == service && l.holds(t) {
+			l.used[t] = now
 		}
-		for model, d := range known {
-			if _, asked := models[model]; !asked {
-				d.take(Want{}, now)
-			}
+	}
+}
+
+// takeDemand takes the demand for each model of a service; what isn't asked
+// for any more falls.
+func (s *Steward) takeDemand(service string, models map[string]Want, now time.Time) {
+	known := s.demands[service]
+	if known == nil {
+		known = map[string]*demand{}
+		s.demands[service] = known
+	}
+	for model := range models {
+		if known[model] == nil {
+			known[model] = &demand{}
 		}
 	}
+	for model, d := range known {
+		d.take(models[model], now)
+	}
 }
 
 // Need asks for a target that requests wait for.
@@ -346,15 +353,15 @@
 func (s *Steward) act(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	any := false
+	steward := false
 	for i, l := range s.cfg.Leases {
 		_, may := l.MayOrder()
-		any = any || may
+		steward = steward || may
 		if may != s.active[i] {
 			s.turn(i, may, now)
 		}
 	}
-	if !any {
+	if !steward {
 		return
 	}
 	services := map[string][]*ledger{}
@@ -548,48 +555,26 @@
 		if now.Before(s.settled[shard]) {
 			continue
 		}
-		var own []*ledger
-		byShard := map[string][]int{}
-		orphans := map[string]int{}
-		count := func(in int, model string) {
-			if byShard[model] == nil {
-				byShard[model] = make([]int, len(alive))
-			}
-			if i := slices.Index(alive, in); i >= 0 {
-				byShard[model][i]++
-			} else {
-				orphans[model]++
-			}
+		p := planner{
+			engine:    e,
+			demands:   s.demands[service],
+			now:       now,
+			shard:     slices.Index(alive, shard),
+			shards:    len(alive),
+			elsewhere: map[string][]int{},
+			orphans:   map[string]int{},
 		}
 		for _, l := range servers {
 			if s.shard(&l.entry) == shard {
-				own = append(own, l)
-
-				continue
-			}
-			for model := range l.adapters {
-				if l.serves(model) && !l.entry.Draining && !l.down {
-					count(s.shard(&l.entry), model)
-				}
+				p.servers = append(p.servers, l)
+			} else if !l.entry.Draining && !l.down {
+				p.countElsewhere(slices.Index(alive, s.shard(&l.entry)), l.models())
 			}
 		}
 		for _, f := range foreign {
-			for text := range f.targets {
-				if strings.IndexByte(text, '/') < 0 {
-					count(f.shard, text)
-				}
-			}
+			p.countElsewhere(slices.Index(alive, f.shard), f.models())
 		}
-		s.placeShard(planner{
-			engine:    e,
-			servers:   own,
-			demands:   s.demands[service],
-			now:       now,
-			shard:     slices.Index(alive, shard),
-			shards:    len(alive),
-			elsewhere: byShard,
-			orphans:   orphans,
-		}, shard)
+		s.placeShard(p, shard)
 	}
 }
 
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -117,6 +117,10 @@
 
 	// Start tells the holder's starts apart.
 	Start int `json:"Start"`
+
+	// Waiting says that the holder has given no order yet, because the one before it
+	// may have given some until lately.
+	Waiting bool `json:"Waiting"`
 }
 
 type StewardShard struct {
