--- a/cmd/papayastair/check.go
+++ b/cmd/papayastair/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"papayastair.dev/papayastair/platform"
 	"papayastair.dev/papayastair/settings"
 	"papayastair.dev/papayastair/wire"
 )
@@ -12,12 +13,20 @@
 type checkCommand struct {
 	Files   []string `arg:"" type:"existingfile" help:"Subtrees of the shared hierarchy, checked together."`
 	Process bool     `help:"The files are process settings."`
+	Node    bool     `help:"The files are settings files, or the deploy file, of the users' platform."`
 }
 
 // Run reports all problems at once.
 func (c checkCommand) Run(out output) error {
 	if c.Process {
-		return c.checkProcesses(out)
+		return c.checkAll(out, func(file string) error {
+			_, err := settings.ParseProcess(file)
+
+			return err
+		})
+	}
+	if c.Node {
+		return c.checkAll(out, platform.Check)
 	}
 	subtrees, err := parseSubtrees(c.Files)
 	if err != nil {
@@ -30,11 +39,17 @@
 	return out.print(checkResult{Files: len(c.Files)}, fmt.Sprintf("%d files are in order", len(c.Files)))
 }
 
-func (c checkCommand) checkProcesses(out output) error {
+// checkAll checks files one by one.
+func (c checkCommand) checkAll(out output, check func(file string) error) error {
 	problems := make(settings.Problems, 0, len(c.Files))
 	for _, file := range c.Files {
-		_, err := settings.ParseProcess(file)
-		problems = append(problems, problemsOf(err)...)
+		for _, p := range problemsOf(check(file)) {
+			if p.File == "" {
+				p.File = file
+				p.Path = "/"
+			}
+			problems = append(problems, p)
+		}
 	}
 	if err := problems.Err(); err != nil {
 		return err
--- a/cmd/papayastair/status.go
+++ b/cmd/papayastair/status.go
@@ -13,12 +13,18 @@
 
 // statusCommand asks an instance what it has in force and sees.
 type statusCommand struct {
-	Operator string `required:"" env:"PAPAYASTAIR_OPERATOR" help:"The IP:port of an instance's operators' address."`
+	Operator string `xor:"address" required:"" env:"PAPAYASTAIR_OPERATOR" help:"The IP:port of an instance's operators' address."`
+	Entry    string `xor:"address" required:"" help:"The IP:port of an entry instance's metrics address, on the users' platform."`
 }
 
 // Run prints the status.
 func (s statusCommand) Run(out output) error {
-	return printAnswer(out, "http://"+s.Operator+"/status")
+	address := s.Operator
+	if s.Entry != "" {
+		address = s.Entry
+	}
+
+	return printAnswer(out, "http://"+address+"/status")
 }
 
 // locateCommand asks an instance which one to use.
