--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -16,9 +16,9 @@
 	// _urgentOverfill, _normalOverfill and _bulkFill are how full a model
 	// engine may be, as a part of its slots, for a request to be sent there:
 	// engines order their own queues, but what waits there can't go elsewhere.
-	_urgentOverfill = 1.5
-	_normalOverfill = 1.2
-	_bulkFill       = 0.9
+	_urgentOverfill = 1.15
+	_normalOverfill = 1.0
+	_bulkFill       = 0.8
 	// _bulkRank is the first rank that yields places to more urgent ones.
 	_bulkRank = 2
 	// _plainQueue is how many requests a slot of a plain service may have
@@ -26,7 +26,7 @@
 	_plainQueue = 3.0
 	// _domainBonus is what a backend server in the caller's failure domain
 	// is ahead by, in places.
-	_domainBonus = 0.7
+	_domainBonus = 1.5
 	// _baseLoad is what an empty backend server counts as, so that a slow one
 	// is left alone while faster ones have few requests.
 	_baseLoad = 2.0
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,9 +21,9 @@
 	// _entryWait is how long other watches wait.
 	_entryWait = 15 * time.Second
 	// _entryGather is the pause after changes of backend servers' entries,
-	// which come often while adapters move; a quarter of the time within which
+	// which come often while adapters move; half of the time within which
 	// a leaving backend server must get no more requests.
-	_entryGather = 500 * time.Millisecond
+	_entryGather = time.Second
 	// _keyMargin is how long before the bound on withdrawn keys requests with
 	// keys are refused: the time from the last check to the last byte sent.
 	_keyMargin = 700 * time.Millisecond
