--- a/steward/steward.go
+++ b/steward/steward.go
@@ -128,40 +128,43 @@
 type Steward struct {
 	cfg     Config
 	mu      sync.Mutex
-	active  []bool
+	shards  []shardState
 	servers map[string]*ledger
 	foreign map[string]foreignView
 	demands map[string]map[string]*demand
 	needs   map[site.Target]need
-	loads   []float64
-	loadsAt []time.Time
-	// settled is from when on the models of a shard are changed.
-	settled []time.Time
-	// toldUnmet is when a shard's unmet demand was logged last.
-	toldUnmet []time.Time
-	wake      chan struct{}
-	ctx       context.Context
-	stop      context.CancelFunc
-	wg        conc.WaitGroup
+	wake    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      conc.WaitGroup
+}
+
+// shardState is this instance's part in one shard.
+type shardState struct {
+	// active says that orders may be given.
+	active bool
+	// loads is how many loads from the weight store may begin, as of loadsAt.
+	loads   float64
+	loadsAt time.Time
+	// settled is from when on models are changed.
+	settled time.Time
+	// toldUnmet is when unmet demand was logged last.
+	toldUnmet time.Time
 }
 
 // New starts a steward.
 func New(cfg Config) *Steward {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Steward{
-		cfg:       cfg,
-		active:    make([]bool, len(cfg.Leases)),
-		loads:     make([]float64, len(cfg.Leases)),
-		loadsAt:   make([]time.Time, len(cfg.Leases)),
-		settled:   make([]time.Time, len(cfg.Leases)),
-		toldUnmet: make([]time.Time, len(cfg.Leases)),
-		servers:   map[string]*ledger{},
-		foreign:   map[string]foreignView{},
-		demands:   map[string]map[string]*demand{},
-		needs:     map[site.Target]need{},
-		wake:      make(chan struct{}, 1),
-		ctx:       ctx,
-		stop:      cancel,
+		cfg:     cfg,
+		shards:  make([]shardState, len(cfg.Leases)),
+		servers: map[string]*ledger{},
+		foreign: map[string]foreignView{},
+		demands: map[string]map[string]*demand{},
+		needs:   map[site.Target]need{},
+		wake:    make(chan struct{}, 1),
+		ctx:     ctx,
+		stop:    cancel,
 	}
 	for _, l := range cfg.Leases {
 		s.wg.Go(func() { s.holdLease(l) })
@@ -223,6 +226,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.servers, id)
+	delete(s.foreign, id)
 }
 
 // SetDemand takes what all instances' callers ask for, by service and target.
@@ -357,7 +361,7 @@
 	for i, l := range s.cfg.Leases {
 		_, may := l.MayOrder()
 		steward = steward || may
-		if may != s.active[i] {
+		if may != s.shards[i].active {
 			s.turn(i, may, now)
 		}
 	}
@@ -366,7 +370,7 @@
 	}
 	services := map[string][]*ledger{}
 	for id, l := range s.servers {
-		if s.cfg.Engine(l.entry.Service) == nil || !s.active[s.shard(&l.entry)] {
+		if s.cfg.Engine(l.entry.Service) == nil || !s.shards[s.shard(&l.entry)].active {
 			continue
 		}
 		l.down = s.cfg.Down(id)
@@ -386,10 +390,11 @@
 // turn begins or ends the ordering of a shard. Another holder may have given
 // orders before, so nothing is known of its backend servers.
 func (s *Steward) turn(shard int, may bool, now time.Time) {
-	s.active[shard] = may
-	s.settled[shard] = now.Add(_settleTime)
-	s.loads[shard] = 0
-	s.loadsAt[shard] = now
+	s.shards[shard] = shardState{
+		active:  may,
+		loadsAt: now,
+		settled: now.Add(_settleTime),
+	}
 	for _, l := range s.servers {
 		if s.shard(&l.entry) == shard {
 			l.known = false
@@ -405,7 +410,7 @@
 func (s *Steward) others(service string, now time.Time) []foreignServer {
 	var out []foreignServer
 	for id, l := range s.servers {
-		if l.entry.Service != service || l.entry.Draining || s.active[s.shard(&l.entry)] || s.cfg.Down(id) {
+		if l.entry.Service != service || l.entry.Draining || s.shards[s.shard(&l.entry)].active || s.cfg.Down(id) {
 			continue
 		}
 		f := foreignServer{
@@ -546,13 +551,15 @@
 	}
 	foreign := s.others(service, now)
 	alive := s.aliveShards(foreign)
-	for shard, active := range s.active {
-		if !active {
+	for shard := range s.shards {
+		st := &s.shards[shard]
+		if !st.active {
 			continue
 		}
-		s.loads[shard] = min(s.loads[shard]+e.LoadsPerSecond*_loadShare/float64(len(alive))*now.Sub(s.loadsAt[shard]).Seconds(), _loadBurst)
-		s.loadsAt[shard] = now
-		if now.Before(s.settled[shard]) {
+		perSecond := e.LoadsPerSecond * _loadShare / float64(len(alive))
+		st.loads = min(st.loads+perSecond*now.Sub(st.loadsAt).Seconds(), _loadBurst)
+		st.loadsAt = now
+		if now.Before(st.settled) {
 			continue
 		}
 		p := planner{
@@ -574,14 +581,16 @@
 		for _, f := range foreign {
 			p.countElsewhere(slices.Index(alive, f.shard), f.models())
 		}
-		s.placeShard(p, shard)
+		s.placeShard(p, st)
 	}
 }
 
 // aliveShards are the shards that have a steward, in order.
 func (s *Steward) aliveShards(foreign []foreignServer) []int {
-	alive := make([]bool, len(s.active))
-	copy(alive, s.active)
+	alive := make([]bool, len(s.shards))
+	for i := range s.shards {
+		alive[i] = s.shards[i].active
+	}
 	for _, f := range foreign {
 		if f.ordered {
 			alive[f.shard] = true
@@ -598,9 +607,9 @@
 }
 
 // placeShard begins changes in one shard.
-func (s *Steward) placeShard(p planner, shard int) {
+func (s *Steward) placeShard(p planner, shard *shardState) {
 	for range _stepsPerTick {
-		p.mayCold = s.loads[shard] >= 1
+		p.mayCold = shard.loads >= 1
 		p.unmet = nil
 		st, ok := p.next()
 		if !ok {
@@ -616,7 +625,7 @@
 			if l.atHand[st.model] {
 				expected = max(m.DiskLoad, m.WarmLoad)
 			} else {
-				s.loads[shard]--
+				shard.loads--
 			}
 			l.loading = st.model
 			l.roomFor = ""
@@ -632,11 +641,11 @@
 }
 
 // logUnmet tells what demand can't be met now.
-func (s *Steward) logUnmet(p *planner, shard int) {
-	if len(p.unmet) == 0 || p.now.Sub(s.toldUnmet[shard]) < _unmetEvery {
+func (s *Steward) logUnmet(p *planner, shard *shardState) {
+	if len(p.unmet) == 0 || p.now.Sub(shard.toldUnmet) < _unmetEvery {
 		return
 	}
-	s.toldUnmet[shard] = p.now
+	shard.toldUnmet = p.now
 	held := map[string]int{}
 	for _, l := range p.servers {
 		for model := range l.adapters {
@@ -647,7 +656,7 @@
 		if l.gain < _swapBase {
 			continue
 		}
-		s.cfg.Log.Write(event.StewardLacking, zap.Int("Shard", shard), zap.String("Model", l.model), zap.Int("Copies", l.copies),
+		s.cfg.Log.Write(event.StewardLacking, zap.Int("Shard", p.shard), zap.String("Model", l.model), zap.Int("Copies", l.copies),
 			zap.Float64("Gain", l.gain), zap.Float64("Requests", p.demand(l.model).requests), zap.Bool("MayLoad", p.mayCold), zap.Any("Held", held))
 	}
 }
