Never answer in the middle of a stream; end the taking of requests before the end

Changes: an answer that doesn't continue a begun stream is no answer; a server ends the taking of requests in one step with finding that none waits, and refuses who comes after. TestRepeats/cutfail and TestFinish fail without them.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -184,6 +184,13 @@
 	if answer.Events && head.Status == 200 {
 		return a.passEvents(head)
 	}
+	if j.r.Begun() {
+		// The caller has the beginning of a stream, which this doesn't continue.
+		_, err := conn.ReadAll(_maxAnswer)
+		a.release(err == nil)
+
+		return dispatch.ResultError, verdictMayHaveRun, eris.Errorf("status %d in the middle of a stream", head.Status)
+	}
 
 	return a.passWhole(head)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,8 @@
 	// stops no more than its part, and each may begin one load at once without
 	// all together breaking the ceiling.
 	_maxShards = 4
+	// _lastAnswers is for how long those who come too late are still answered.
+	_lastAnswers = 100 * time.Millisecond
 	// _stewardStagger is between instances that look for a free lease.
 	_stewardStagger = 300 * time.Millisecond
 	_stewardMost    = 1500 * time.Millisecond
@@ -227,12 +229,25 @@
 	for {
 		time.Sleep(50 * time.Millisecond)
 		passed := timer.Elapsed() - began
-		if passed >= most || passed >= least && e.busy() == 0 {
+		if passed >= most || passed >= least && e.finish() {
+			time.Sleep(_lastAnswers)
+
 			return
 		}
 	}
 }
 
+// finish ends the taking of requests at all addresses, if none waits.
+func (e *Entry) finish() bool {
+	for _, s := range e.servers {
+		if !s.Finish() {
+			return false
+		}
+	}
+
+	return true
+}
+
 // endsIn is for how long the process will serve, and whether it still takes
 // what may last longer.
 func (e *Entry) endsIn() (left time.Duration, takesAll bool) {
--- a/hop/server.go
+++ b/hop/server.go
@@ -25,6 +25,9 @@
 	// answer isn't lost to a reset.
 	_lingerTimeout = time.Second
 	_lingerBytes   = 256 << 10
+	// _finishedRetry is when a caller who came too late should come back, in
+	// seconds, to another instance.
+	_finishedRetry = "0.050"
 )
 
 // ServerConfig is what a Server works with.
@@ -47,8 +50,11 @@
 	closing atomic.Bool
 	mu      sync.Mutex
 	conns   map[*callerConn]struct{}
-	busy    atomic.Int64
-	wg      conc.WaitGroup
+	// busy counts requests that wait for their answers; finished says that no
+	// more are begun.
+	busy     int
+	finished bool
+	wg       conc.WaitGroup
 }
 
 // Serve accepts connections until Close.
@@ -64,7 +70,38 @@
 
 // Busy is how many requests wait for their answers.
 func (s *Server) Busy() int {
-	return int(s.busy.Load())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.busy
+}
+
+// Finish ends the taking of requests, if none waits for its answer; one that
+// comes after that is refused, as it has not run. It says whether it did.
+func (s *Server) Finish() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finished = s.finished || s.busy == 0
+
+	return s.finished
+}
+
+// begin counts a request, if any are still taken.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.finished {
+		return false
+	}
+	s.busy++
+
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
 }
 
 // Connections is how many connections are open.
@@ -152,7 +189,16 @@
 
 		return false
 	}
-	c.server.busy.Add(1)
+	if !c.server.begin() {
+		r.CloseAfter()
+		r.Answer(http.StatusServiceUnavailable, []Field{{
+			Name:  "Retry-After",
+			Value: _finishedRetry,
+		}}, nil)
+		c.linger()
+
+		return false
+	}
 	_ = c.nc.SetReadDeadline(time.Time{})
 	go func() {
 		defer r.finish(limits.IdleTimeout)
@@ -477,7 +523,7 @@
 // over. The read deadline is set under the lock, so that it is never set after
 // the reader has gone on.
 func (r *Request) finish(idle time.Duration) {
-	r.conn.server.busy.Add(-1)
+	r.conn.server.end()
 	if !r.ended {
 		r.Cut()
 	}
--- a/hop/server_test.go
+++ b/hop/server_test.go
@@ -346,3 +346,44 @@
 		}
 	})
 }
+
+// TestFinish finds that a server ends the taking of requests only when none
+// waits, and that who comes after is refused and not handled.
+func TestFinish(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := hop.Serve(hop.ServerConfig{
+		Listener: listener,
+		Limits:   func() site.Limits { return testLimits },
+		Handle: func(r *hop.Request) {
+			entered <- struct{}{}
+			<-release
+			r.Answer(200, nil, nil)
+		},
+	})
+	defer s.Close()
+	const request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+	first := make(chan []string)
+	go func() {
+		answers, _ := talk(t, listener.Addr().String(), request)
+		first <- answers
+	}()
+	<-entered
+	if s.Finish() {
+		t.Error("finished while a request waits")
+	}
+	close(release)
+	if diff := cmp.Diff([]string{"200"}, <-first); diff != "" {
+		t.Errorf("the waiting request (-want +got):\n%s", diff)
+	}
+	for !s.Finish() {
+		time.Sleep(time.Millisecond)
+	}
+	answers, closed := talk(t, listener.Addr().String(), request)
+	if diff := cmp.Diff([]string{"503"}, answers); diff != "" || !closed {
+		t.Errorf("a late request, closed %v (-want +got):\n%s", closed, diff)
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -44,6 +44,7 @@
 //	late      an answer to another request first
 //	unframed  a body that ends with the connection
 //	cut       events that break off in the middle of the third
+//	cutfail   the same, and a signed failure where they are to go on
 //	unsigned  a body without a signature
 //	encoded   a body with a coding
 //	garbage   bytes that are no answer
@@ -247,6 +248,12 @@
 // play answers in one of the ways.
 func (w *Worker) play(c net.Conn, br *bufio.Reader, mode, id, last string) bool {
 	signed := fmt.Sprintf("%s: %s\r\n%s: seal-%s\r\n", _workerID, id, _workerSeal, w.cfg.ID)
+	if mode == "cutfail" {
+		mode = "cut"
+		if last != "" {
+			mode = "error"
+		}
+	}
 	switch mode {
 	case "events", "slow", "cut":
 		return w.playEvents(c, mode, signed, last)
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -341,8 +341,9 @@
 // typicalMB is the mean size of a model.
 func (p *planner) typicalMB() float64 {
 	sum := 0.0
-	for _, m := range p.engine.Models {
-		sum += m.WeightsMB
+	// In one order, so that the sum is always the same to the last bit.
+	for _, model := range slices.Sorted(maps.Keys(p.engine.Models)) {
+		sum += p.engine.Models[model].WeightsMB
 	}
 
 	return sum / float64(max(len(p.engine.Models), 1))
