--- a/steward/plan.go
+++ b/steward/plan.go
@@ -28,8 +28,10 @@
 	// _resilience is what the loss of one of few copies weighs for a model that
 	// urgent requests have asked for lately.
 	_resilience = 7.0
-	// _starvedWeight is what an adapter weighs that finds all places in use.
+	// _starvedWeight is what an adapter weighs that finds all places in use, and
+	// _starvedMemory how fast that is forgotten, at five counts a second.
 	_starvedWeight = 6.0
+	_starvedMemory = 0.8
 	// _liveMemory is how long a model counts as asked for.
 	_liveMemory = time.Minute
 	// _swapFactor and _swapBase are by how much a copy must be worth more than
@@ -45,18 +47,16 @@
 	// _otherShard is how much less a copy is worth in a shard that isn't the
 	// one with the fewest, so that stewards don't all load the same model.
 	_otherShard = 0.6
-	// _demandRise and _demandFall are the times over which the number of
-	// requests is smoothed, up and down: a copy takes seconds to come, and a
-	// pause must not cost one.
-	_demandRise = 150 * time.Millisecond
-	_demandFall = 3500 * time.Millisecond
-	// _trendTime smooths the number that the trend is taken against, and
-	// _trendAhead is for how many times that span it is drawn out: until a copy
-	// ordered now is there.
-	_trendTime  = time.Second
-	_trendAhead = 4.0
-	// _starvedTime is how fast starved adapters are forgotten.
-	_starvedTime = 400 * time.Millisecond
+	// _demandRise and _demandFall smooth the number of requests, up and down, by
+	// the number of bulletins: five a second, and more while adapters move. By
+	// time instead, more was refused on heavy days (journal of 4 December).
+	_demandRise = 0.6
+	_demandFall = 0.03
+	// _trendMemory smooths the number that the trend is taken against, over
+	// some two seconds, and _trendAhead is for how many times that span it is
+	// drawn out: until a copy ordered now is there.
+	_trendMemory = 0.14
+	_trendAhead  = 4.0
 	// _stay is how long a copy stays at least, so that two models don't push
 	// each other out by turns.
 	_stay = 5 * time.Second
@@ -80,8 +80,6 @@
 	before   float64
 	urgentAt time.Time
 	askedAt  time.Time
-	// at is when the demand was told last.
-	at time.Time
 	// starved counts adapters that found all places in use lately.
 	starved float64
 	seen    bool
@@ -92,17 +90,14 @@
 		// There is no trend in what is counted for the first time.
 		d.requests = w.Requests
 		d.before = w.Requests
-		d.at = now
 	}
-	passed := now.Sub(d.at)
-	d.at = now
-	smooth := _demandFall
 	if w.Requests > d.requests {
-		smooth = _demandRise
+		d.requests += _demandRise * (w.Requests - d.requests)
+	} else {
+		d.requests += _demandFall * (w.Requests - d.requests)
 	}
-	d.requests += weightOf(passed, smooth) * (w.Requests - d.requests)
-	d.starved *= 1 - weightOf(passed, _starvedTime)
-	d.before += weightOf(passed, _trendTime) * (d.requests - d.before)
+	d.starved *= _starvedMemory
+	d.before += _trendMemory * (d.requests - d.before)
 	if w.Requests > 0 || w.PerSecond > 0 {
 		d.askedAt = now
 		d.seen = true
@@ -112,11 +107,6 @@
 	}
 }
 
-// weightOf is the weight of a new value in an exponential mean over a time.
-func weightOf(passed, over time.Duration) float64 {
-	return 1 - math.Exp(-float64(passed)/float64(over))
-}
-
 // expected is the number of requests when a copy ordered now is there.
 func (d *demand) expected() float64 {
 	return d.requests + max(0, d.requests-d.before)*_trendAhead
--- a/steward/plan_test.go
+++ b/steward/plan_test.go
@@ -111,9 +111,9 @@
 				}
 				for m, r := range tt.requests {
 					d := p.demand(m)
-					// For long, so that there is no trend.
-					for i := range 200 {
-						d.take(Want{Requests: r}, p.now.Add(time.Duration(i-199)*200*time.Millisecond))
+					// Twice, so that there is no trend.
+					for range 200 {
+						d.take(Want{Requests: r}, p.now)
 					}
 				}
 				st, ok := p.next()
