--- a/fleet/system_test.go
+++ b/fleet/system_test.go
@@ -8,9 +8,12 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+
 	"papayastair.dev/papayastair/demo"
 	"papayastair.dev/papayastair/fleet"
 	"papayastair.dev/papayastair/instance"
+	"papayastair.dev/papayastair/platform"
 	"papayastair.dev/papayastair/settings"
 	"papayastair.dev/papayastair/standin"
 	"papayastair.dev/papayastair/wire"
@@ -137,8 +140,11 @@
 // list puts a member into the platform's list.
 func (s *system) list(t *testing.T, member wire.Member) {
 	t.Helper()
-	url := fmt.Sprintf("http://%s/objects/Member/%s?version=0", s.platform.address.CallerAddress, member.Name)
-	put(t, url, encode(t, member))
+	client := platform.NewClient(s.platform.address.CallerAddress, metrics.NewRegistry())
+	defer client.Close()
+	if _, err := client.Store("Test").Put(t.Context(), "Member", member.Name, encode(t, member), 0); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // apply runs the command, and keeps the version that it tells.
