Spend what a window allows beyond a workspace's rate

Its bucket was filled at the rate and 0.09 of it, but the platform judges windows of 8 s, and each window may hold the burst as well: a steady excess may be served at rate + burst/window, 1.24 times the rate where the burst is one second's.

Change: each account keeps what was spent in the last window, its own and the others', in 64 parts. While all instances are heard and the whole window is known, the rate rises by what no window from now on would hold too much of, as the old spending leaves it. Nothing else of the bucket changes.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -44,6 +44,9 @@
 	// _overShare is the part of what the platform allows over the limit that is
 	// used while all instances are heard; none is while one is silent.
 	_overShare = 0.9
+	// _extraPeriod is the time over which what a window still allows beyond the
+	// rate is spent.
+	_extraPeriod = 500 * time.Millisecond
 	// _minWait and _maxWait bound the time after which a refused caller is
 	// told to come back.
 	_minWait = 100 * time.Millisecond
@@ -73,11 +76,23 @@
 	Part  float64
 }
 
+// Limits are what the platform allows on top of a workspace's rate and burst.
+type Limits struct {
+	// Over is the part of a limit that may be spent on top of it in a window.
+	Over float64
+	// Slack is how much beyond that, over all instances; it is divided among
+	// them as room for requests that come in lumps.
+	Slack float64
+	// Window is the length of the windows in which limits are judged.
+	Window time.Duration
+}
+
 // Book is this instance's view of all buckets. Use New.
 type Book struct {
-	mu         sync.Mutex
-	slack      float64
-	over       float64
+	mu     sync.Mutex
+	limits Limits
+	// knownFrom is since when what all instances spend is known.
+	knownFrom  time.Time
 	workspaces map[string]*account
 	peers      map[string]*peer
 }
@@ -112,19 +127,17 @@
 	othersAsked float64
 	// room is this instance's part of the slack.
 	room   float64
+	window window
 	spent  float64
 	asked  float64
 	recent float64
 	rolled time.Time
 }
 
-// New returns an empty book. over is the part of a limit that the platform
-// allows on top of it in a window, and slack how much beyond that, over all
-// instances; it is divided among them as room for requests that come in lumps.
-func New(over, slack float64) *Book {
+// New returns an empty book.
+func New(limits Limits) *Book {
 	return &Book{
-		slack:      slack,
-		over:       over,
+		limits:     limits,
 		workspaces: map[string]*account{},
 		peers:      map[string]*peer{},
 	}
@@ -165,10 +178,15 @@
 			a = &account{
 				at:     now,
 				rolled: now,
+				window: newWindow(b.limits.Window, now),
 			}
 			b.workspaces[w.Name] = a
 		}
 		a.fill(now)
+		if a.limit != w.RatePerSecond || a.burst != w.Burst {
+			// A new limit is judged by what is spent under it.
+			a.window = newWindow(b.limits.Window, now)
+		}
 		a.limit = w.RatePerSecond
 		a.burst = w.Burst
 	}
@@ -195,15 +213,20 @@
 			continue
 		}
 		before, ok := p.told[workspace]
+		spent := t.Spent - before.Spent
 		switch {
 		case p.told == nil:
 			// What it spent before it was first heard isn't known to be recent.
+			spent = 0
 		case p.start != start || !ok:
-			a.level -= t.Spent
-		default:
-			a.level -= t.Spent - before.Spent
+			spent = t.Spent
 		}
-		a.level = max(a.level, -a.burst)
+		a.level = max(a.level-spent, -a.burst)
+		a.window.roll(now)
+		a.window.add(spent)
+	}
+	if p.told == nil || p.start != start {
+		b.knownFrom = now
 	}
 	p.start = start
 	p.heard = now
@@ -280,6 +303,7 @@
 	// as far as a second's part.
 	a.own = min(max(a.own-cost, -a.rate*a.part), a.most())
 	a.spent += cost
+	a.window.add(cost)
 }
 
 // fill adds what the time since the last filling brings.
@@ -289,6 +313,7 @@
 		a.own += a.rate * a.part * passed
 	}
 	a.at = now
+	a.window.roll(now)
 	a.level = min(a.level, a.burst*a.heard)
 	a.own = min(a.own, a.most())
 }
@@ -331,7 +356,8 @@
 		}
 		a.rate = a.limit
 		if int(heard) == len(b.peers)+1 {
-			a.rate *= 1 + b.over*_overShare
+			a.rate *= 1 + b.limits.Over*_overShare
+			a.rate += b.extra(a, now) / _extraPeriod.Seconds()
 		}
 		all := a.asked + a.othersAsked
 		part := func(asked float64) float64 {
@@ -347,11 +373,24 @@
 			}
 		}
 		a.part = part(a.asked)
-		a.room = b.slack * _slackShare / instances
+		a.room = b.limits.Slack * _slackShare / instances
 		a.fill(now)
 	}
 }
 
+// extra is how much may be spent beyond the rate, as windows may hold the burst
+// too and what is allowed over both: nothing unless all that was spent in the
+// last window is known.
+func (b *Book) extra(a *account, now time.Time) float64 {
+	if b.limits.Window <= 0 || now.Sub(b.knownFrom) < b.limits.Window {
+		return 0
+	}
+	allowed := (a.limit*b.limits.Window.Seconds()+a.burst)*(1+b.limits.Over*_overShare) + b.limits.Slack*_slackShare/2
+	unseen := min(a.othersAsked, a.rate) * _unseen.Seconds() / 2
+
+	return min(max(allowed-unseen-a.window.highest(a.rate), 0), a.burst/b.limits.Window.Seconds())
+}
+
 // part is the part of a workspace's limit that the instance had when it was
 // heard last; an even one if it never was.
 func (p *peer) part(workspace string, instances float64) float64 {
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -54,7 +54,11 @@
 
 func (w *world) restart(i int) {
 	w.start[i]++
-	w.books[i] = allowance.New(testOver, testSlack)
+	w.books[i] = allowance.New(allowance.Limits{
+		Over:   testOver,
+		Slack:  testSlack,
+		Window: time.Duration(testWindow * float64(time.Second)),
+	})
 	var others []string
 	for j := range w.books {
 		if j != i {
@@ -250,3 +254,29 @@
 		t.Errorf("%.0f tokens in a window, at most %.0f", worst, most)
 	}
 }
+
+// TestSteadyExcess asks for more than the rate without end, and finds served
+// what each window allows: the burst and what may be over too, not just the
+// rate. Four in a hundred may be left as a margin.
+func TestSteadyExcess(t *testing.T) {
+	w := newWorld(3, 8)
+	for range 500 {
+		w.tick(testRate/2, w.anywhere)
+	}
+	w.admitted = nil
+	for range 2000 {
+		w.tick(2*testRate, w.anywhere)
+	}
+	sum := 0.0
+	for _, n := range w.admitted {
+		sum += n
+	}
+	seconds := float64(len(w.admitted)) * testTick.Seconds()
+	least := (testRate*testWindow + testRate) * 1.1 / testWindow * 0.96
+	if got := sum / seconds; got < least {
+		t.Errorf("%.0f tokens a second were admitted, want %.0f at least", got, least)
+	}
+	if worst := w.worst(); worst > bound {
+		t.Errorf("%.0f tokens in a window, at most %.0f", worst, bound)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,11 @@
 			Window:    cfg.Settings.Bounds.RetryWindow,
 			Instances: 1,
 		}),
-		book:    allowance.New(cfg.Settings.Bounds.LimitOver, cfg.Settings.Bounds.LimitSlack),
+		book: allowance.New(allowance.Limits{
+			Over:   cfg.Settings.Bounds.LimitOver,
+			Slack:  cfg.Settings.Bounds.LimitSlack,
+			Window: cfg.Settings.Bounds.LimitWindow,
+		}),
 		demand:  newDemandCounter(),
 		pools:   map[string]*hop.Pool{},
 		needs:   map[string]time.Time{},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -47,6 +47,8 @@
 	// a window, and LimitSlack how much beyond that, in the limit's unit.
 	LimitOver  float64
 	LimitSlack float64
+	// LimitWindow is the length of the windows in which limits are judged.
+	LimitWindow time.Duration
 	// Retry bounds repeats at backend servers.
 	RetryRatio  float64
 	RetrySlack  float64
