Tell of all instances by relays where there are many

Ruled out: fewer words a second (counts of running requests would be seconds old); leaving out what is told (the number of datagrams binds, not the bytes).

Change: up to 12 instances tell all others as before. Beyond, each tells two relays of its failure domain (or of a part of it beyond 40); the first of these that answers tells the relays of the others the sums of its group, and each its members the sums of all. Relays follow from the records (capacity, then name) and from who answers, without an election; the second stands by with the same knowledge. Spending passes relays as counters that are counted from where the one before stopped. Needs are asked directly of whoever gives the orders. Limits: an instance that isn't heard may spend an even part, not the part by the demand when it was heard last, as two sides of a cut saw that demand differently.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -6,10 +6,10 @@
 // a second later. While the bucket is well filled, a request is admitted
 // wherever it comes. When it runs low, each instance may spend only its part
 // of the rate, which follows where the workspace's callers ask. An instance
-// that is not heard is taken to spend its last part.
+// that is not heard is taken to spend an even part.
 //
 //	b.SetWorkspaces(workspaces, now)
-//	b.Heard("instance-2", start, told, now)
+//	b.Heard("instance-2", start, 1, told, now)
 //	if d := b.Take("wording", tokens, now); !d.OK { refuse, come back after d.Wait }
 package allowance
 
@@ -29,9 +29,10 @@
 	_askedMemory = time.Second
 	// _heardFor is how long an instance counts as heard: a few bulletins.
 	_heardFor = 700 * time.Millisecond
-	// _unseen is how much of the others' spending isn't known yet: the time
-	// between two bulletins, and a margin.
-	_unseen = 300 * time.Millisecond
+	// _unseen is how much of what another had spent wasn't known yet when it was
+	// heard last: what it had admitted in the meantime, and the way of the
+	// bulletin.
+	_unseen = 200 * time.Millisecond
 	// _partBurst is the part of an instance's burst that it may save up while
 	// the common bucket is low.
 	_partBurst = 0.3
@@ -97,17 +98,21 @@
 	peers      map[string]*peer
 }
 
-// peer is another instance.
+// peer is another instance, or some that speak together.
 type peer struct {
 	known bool
-	start int
-	heard time.Time
-	told  map[string]Told
-	parts map[string]float64
+	// expected is how many instances it stands for, and speaking how many were
+	// behind its last word.
+	expected int
+	speaking int
+	start    int
+	heard    time.Time
+	told     map[string]Told
+	parts    map[string]float64
 }
 
 func newPeer() *peer {
-	return &peer{parts: map[string]float64{}}
+	return &peer{expected: 1}
 }
 
 // account is one workspace's bucket.
@@ -143,18 +148,20 @@
 	}
 }
 
-// SetPeers names the other instances that may be running.
-func (b *Book) SetPeers(names []string, now time.Time) {
+// SetPeers names the others that may be running, each with how many instances
+// it stands for.
+func (b *Book) SetPeers(expected map[string]int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
 		p.known = false
 	}
-	for _, name := range names {
+	for name, n := range expected {
 		if b.peers[name] == nil {
 			b.peers[name] = newPeer()
 		}
 		b.peers[name].known = true
+		b.peers[name].expected = n
 	}
 	for name, p := range b.peers {
 		if !p.known && now.Sub(p.heard) > _heardFor {
@@ -198,8 +205,8 @@
 	b.divide(now)
 }
 
-// Heard takes what another instance tells.
-func (b *Book) Heard(name string, start int, told map[string]Told, now time.Time) {
+// Heard takes what another tells for some instances.
+func (b *Book) Heard(name string, start, speaking int, told map[string]Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[name]
@@ -230,6 +237,7 @@
 	}
 	p.start = start
 	p.heard = now
+	p.speaking = speaking
 	p.told = told
 	b.divide(now)
 }
@@ -265,7 +273,7 @@
 	a.roll(now)
 	a.recent += cost
 	a.fill(now)
-	need := min(cost, a.burst*a.heard*_fullBucket) + a.othersAsked*_unseen.Seconds()
+	need := min(cost, a.burst*a.heard*_fullBucket) + b.unseen(workspace, now)
 	needOwn := min(cost, a.most())
 	d := Decision{
 		OK:    a.level >= need || a.own >= needOwn,
@@ -288,6 +296,18 @@
 	return d
 }
 
+// unseen is what the others may have spent since they were heard.
+func (b *Book) unseen(workspace string, now time.Time) float64 {
+	sum := 0.0
+	for _, p := range b.peers {
+		if silent := now.Sub(p.heard); silent <= _heardFor {
+			sum += p.told[workspace].Asked * (silent + _unseen).Seconds()
+		}
+	}
+
+	return sum
+}
+
 // Return gives back the cost of a request that has not run.
 func (b *Book) Return(workspace string, cost float64) {
 	b.mu.Lock()
@@ -335,44 +355,36 @@
 	a.rolled = now
 }
 
-// divide sets the parts of each limit from all instances' demand. The part of
-// an instance that isn't heard stays as it was when it was heard last, and so
-// does what is left for those that are: both sides of a cut count the same.
+// divide sets the parts of each limit from all instances' demand. Instances
+// that aren't heard may spend an even part, and those that are heard the rest:
+// both sides of a cut count the same, however demand was when it came.
 func (b *Book) divide(now time.Time) {
-	instances := float64(len(b.peers) + 1)
+	instances, heard := 1.0, 1.0
+	for _, p := range b.peers {
+		instances += float64(max(p.expected, p.speaking))
+		if now.Sub(p.heard) <= _heardFor {
+			heard += float64(p.speaking)
+		}
+	}
 	for name, a := range b.workspaces {
 		a.roll(now)
 		a.fill(now)
-		a.heard = 1
+		a.heard = heard / instances
 		a.othersAsked = 0
-		heard := 1.0
 		for _, p := range b.peers {
 			if now.Sub(p.heard) <= _heardFor {
-				heard++
 				a.othersAsked += p.told[name].Asked
-			} else {
-				a.heard -= p.part(name, instances)
 			}
 		}
 		a.rate = a.limit
-		if int(heard) == len(b.peers)+1 {
+		if heard == instances {
 			a.rate *= 1 + b.limits.Over*_overShare
-			a.rate += b.extra(a, now) / _extraPeriod.Seconds()
+			a.rate += b.extra(name, a, now) / _extraPeriod.Seconds()
 		}
-		all := a.asked + a.othersAsked
-		part := func(asked float64) float64 {
-			if all <= 0 {
-				return a.heard / heard
-			}
-
-			return a.heard * (_evenPart/heard + (1-_evenPart)*asked/all)
-		}
-		for _, p := range b.peers {
-			if now.Sub(p.heard) <= _heardFor {
-				p.parts[name] = part(p.told[name].Asked)
-			}
+		a.part = a.heard / heard
+		if all := a.asked + a.othersAsked; all > 0 {
+			a.part = a.heard * (_evenPart/heard + (1-_evenPart)*a.asked/all)
 		}
-		a.part = part(a.asked)
 		a.room = b.limits.Slack * _slackShare / instances
 		a.fill(now)
 	}
@@ -381,22 +393,13 @@
 // extra is how much may be spent beyond the rate, as windows may hold the burst
 // too and what is allowed over both: nothing unless all that was spent in the
 // last window is known.
-func (b *Book) extra(a *account, now time.Time) float64 {
+func (b *Book) extra(name string, a *account, now time.Time) float64 {
 	if b.limits.Window <= 0 || now.Sub(b.knownFrom) < b.limits.Window {
 		return 0
 	}
-	allowed := (a.limit*b.limits.Window.Seconds()+a.burst)*(1+b.limits.Over*_overShare) + b.limits.Slack*_slackShare/2
-	unseen := min(a.othersAsked, a.rate) * _unseen.Seconds() / 2
+	allowed := (a.limit*b.limits.Window.Seconds() + a.burst) * (1 + b.limits.Over*_overShare)
+	// What others spend unseen, and the rooms that each may spend besides.
+	unseen := min(a.othersAsked, a.rate)*(2*_unseen).Seconds() + b.limits.Slack*_slackShare
 
 	return min(max(allowed-unseen-a.window.highest(a.rate), 0), a.burst/b.limits.Window.Seconds())
 }
-
-// part is the part of a workspace's limit that the instance had when it was
-// heard last; an even one if it never was.
-func (p *peer) part(workspace string, instances float64) float64 {
-	if part, ok := p.parts[workspace]; ok {
-		return part
-	}
-
-	return 1 / instances
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,12 +159,15 @@
 	s := e.cfg.Settings
 	var err error
 	e.hub, err = exchange.Open(exchange.Config{
-		Address: s.PeerAddress,
-		Name:    s.Name,
-		Start:   e.start,
-		Compose: e.compose,
-		Heard:   e.heard,
-		Log:     e.cfg.Log,
+		Address:       s.PeerAddress,
+		Name:          s.Name,
+		Start:         e.start,
+		FailureDomain: s.FailureDomain,
+		Capacity:      s.Capacity,
+		Compose:       e.compose,
+		Heard:         e.heard,
+		Sums:          e.heardSums,
+		Log:           e.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -223,7 +226,7 @@
 	e.leftAt.Store(int64(began))
 	e.leaving.Store(true)
 	e.cfg.Log.Write(event.EntryLeaving, zap.Int("Busy", e.busy()))
-	e.hub.Push()
+	e.hub.PushNews()
 	go e.removeRecord()
 	for _, s := range e.servers {
 		s.Drain()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/exchange"
 	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/timer"
 	"papayastair.dev/papayastair/wire"
@@ -325,16 +326,19 @@
 	e.records.mu.Lock()
 	e.records.listed = true
 	records := make([]wire.EntryRecord, 0, len(e.records.records))
-	var others []string
+	others := map[string]int{}
 	for _, r := range e.records.records {
 		records = append(records, r)
 		if r.Name != e.cfg.Settings.Name {
-			others = append(others, r.Name)
+			others[r.Name] = 1
 		}
 	}
 	e.records.mu.Unlock()
 	e.hub.SetRecords(records)
 	e.board.SetInstances(len(records))
+	if !e.hub.Meshed() {
+		others = map[string]int{exchange.Everyone: len(others)}
+	}
 	e.book.SetPeers(others, time.Now())
 }
 
@@ -351,6 +355,7 @@
 		Address:       s.PeerAddress,
 		CallerAddress: s.CallerAddress,
 		FailureDomain: s.FailureDomain,
+		Capacity:      s.Capacity,
 	}
 	e.records.mu.Lock()
 	listed, held, version := e.records.listed, e.records.records[s.Name], e.records.versions[s.Name]
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,6 +20,8 @@
 	PeerAddress string
 	// StoreAddress is the IP:port of the platform's store.
 	StoreAddress string
+	// Capacity is how much the instance can do, in thousandths of a processor.
+	Capacity int
 	// Cores is how many processors may be used at once, and MemoryMB the
 	// memory over which the process is ended.
 	Cores    int
--- a/entry/tell.go
+++ b/entry/tell.go
@@ -9,6 +9,7 @@
 
 	"papayastair.dev/papayastair/allowance"
 	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/exchange"
 	"papayastair.dev/papayastair/site"
 	"papayastair.dev/papayastair/steward"
 	"papayastair.dev/papayastair/wire"
@@ -178,34 +179,15 @@
 	return b
 }
 
-// heard takes the bulletin of another instance.
+// heard takes what another instance says of itself and passes on.
 func (e *Entry) heard(b *wire.Bulletin, notBefore time.Duration) {
 	now := time.Now()
-	counts := make(map[string]int, len(b.Running))
-	for _, r := range b.Running {
-		counts[r.Server] = r.Count
-	}
-	e.board.SetPeer(b.Name, counts, now)
-	told := make(map[string]allowance.Told, len(b.Asked))
-	for _, a := range b.Asked {
-		told[a.Workspace] = allowance.Told{
-			Asked: a.PerSecond,
-			Spent: a.Spent,
-		}
-	}
-	e.book.Heard(b.Name, b.Start, told, now)
-	e.mu.Lock()
-	e.asked[b.Name] = peerDemand{
-		at:     now,
-		demand: b.Demand,
-	}
-	e.mu.Unlock()
 	for _, text := range b.Needs {
 		service, target := parseNeed(text)
 		e.steward.Need(service, target, now)
 	}
 	for _, shard := range b.Shards {
-		if shard.Shard >= 0 && shard.Shard < len(e.leases) {
+		if shard.Holder != e.cfg.Settings.Name && shard.Shard >= 0 && shard.Shard < len(e.leases) {
 			e.leases[shard.Shard].HolderHeard(steward.Holding{
 				Fence:   shard.Fence,
 				Version: shard.Version,
@@ -213,8 +195,7 @@
 			})
 		}
 	}
-	e.steward.SetForeign(b.Held, now)
-	e.takeHeld(b.Held)
+	e.takeForeign(b.Held, now)
 	cfg := e.current.Load()
 	if cfg != nil && b.Version == cfg.Version && b.EvidenceAgeMS >= 0 && notBefore > 0 {
 		// The bulletin was sent at notBefore or later, and the sender's
@@ -223,6 +204,43 @@
 	}
 }
 
+// takeForeign takes what other stewards say that backend servers hold. A relay
+// may say it of this instance's own, which knows better.
+func (e *Entry) takeForeign(held []wire.ServerTargets, now time.Time) {
+	foreign := make([]wire.ServerTargets, 0, len(held))
+	for _, h := range held {
+		if !e.steward.Orders(h.Server) {
+			foreign = append(foreign, h)
+		}
+	}
+	e.steward.SetForeign(foreign, now)
+	e.takeHeld(foreign)
+}
+
+// heardSums takes what others say of their requests.
+func (e *Entry) heardSums(s exchange.Sums) {
+	now := time.Now()
+	counts := make(map[string]int, len(s.Bulletin.Running))
+	for _, r := range s.Bulletin.Running {
+		counts[r.Server] = r.Count
+	}
+	e.board.SetPeer(s.From, counts, now)
+	told := make(map[string]allowance.Told, len(s.Bulletin.Asked))
+	for _, a := range s.Bulletin.Asked {
+		told[a.Workspace] = allowance.Told{
+			Asked: a.PerSecond,
+			Spent: a.Spent,
+		}
+	}
+	e.book.Heard(s.From, s.Start, s.Instances, told, now)
+	e.mu.Lock()
+	e.asked[s.From] = peerDemand{
+		at:     now,
+		demand: s.Bulletin.Demand,
+	}
+	e.mu.Unlock()
+}
+
 // takeHeld takes the steward's word on what backend servers hold.
 func (e *Entry) takeHeld(held []wire.ServerTargets) {
 	if len(held) == 0 {
@@ -237,7 +255,7 @@
 // heldChanged tells the others at once that a backend server holds something
 // else.
 func (e *Entry) heldChanged() {
-	e.hub.Push()
+	e.hub.PushHeld()
 }
 
 // sumDemand tells the local steward what all instances' callers ask for.
@@ -282,7 +300,7 @@
 	e.needs[service+"|"+t.String()] = now
 	e.mu.Unlock()
 	if !told {
-		e.hub.Push()
+		e.hub.PushNeeds()
 	}
 }
 
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -6,14 +6,20 @@
 //	h, err := exchange.Open(exchange.Config{...})
 //	defer h.Close()
 //	h.SetRecords(records) // whom to tell, out of the store
-//	h.Push()              // tell now
+//	h.PushNews()          // tell now
+//
+// A few instances tell all others. Where there are more, those of a failure
+// domain tell two of their number, the relays; one of these tells the relays of
+// the other domains the sums of its own, and each relay its members the sums of
+// all. Who relays follows from the records in the store and from who answers;
+// nobody is elected. What is needed from whoever gives the orders is asked and
+// answered directly.
 package exchange
 
 import (
 	"encoding/json"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -30,16 +36,11 @@
 	// _period is the time between two bulletins without cause. The counts of
 	// running requests must follow within a fraction of a request's time.
 	_period = 200 * time.Millisecond
-	// _pushGap is the shortest time between two bulletins.
+	// _pushGap is the shortest time between two bulletins, and _passGap between
+	// two that pass on what others say.
 	_pushGap = 5 * time.Millisecond
-	// _aliveFor is how long a silent instance counts as alive: a few periods.
-	_aliveFor = 1200 * time.Millisecond
-	// _forget is how long a silent instance that is not in the store is told.
-	_forget  = 5 * time.Second
+	_passGap = 25 * time.Millisecond
 	_maxSize = 60 << 10
-	// _overtaken is how late a datagram of a former start may come. A machine
-	// whose clock of elapsed time began anew is believed after it.
-	_overtaken = 400 * time.Millisecond
 )
 
 // Config is what a Hub works with.
@@ -49,27 +50,24 @@
 	// Name and Start identify this process.
 	Name  string
 	Start int
+	// FailureDomain is where it runs; the instances of one tell the others by
+	// relays when there are many.
+	FailureDomain string
+	// Capacity is how much this instance can do, in thousandths of a processor.
+	Capacity int
 	// Compose makes the bulletin to send; the hub fills in Heard and SentMS.
 	Compose func() wire.Bulletin
-	// Heard takes a bulletin of another instance. notBefore is the time, by
-	// timer.Elapsed, that the bulletin was sent at or after; 0 if unknown.
+	// Heard takes a bulletin as it came: what is needed and held, and how fresh
+	// the sender's configuration is. notBefore is the time, by timer.Elapsed,
+	// that the bulletin was sent at or after; 0 if unknown.
 	Heard func(b *wire.Bulletin, notBefore time.Duration)
+	// Sums takes what others say of their requests, each for itself or all
+	// together.
+	Sums func(s Sums)
 	// Log takes the events.
 	Log *event.Log
 }
 
-// peer is another instance.
-type peer struct {
-	addr     netip.AddrPort
-	start    int
-	inStore  bool
-	heardAt  time.Duration
-	alive    bool
-	bulletin *wire.Bulletin
-	caller   string
-	domain   string
-}
-
 // Instance is what is known of another instance.
 type Instance struct {
 	// Name identifies it.
@@ -90,14 +88,16 @@
 
 // Hub sends and receives bulletins. Use Open.
 type Hub struct {
-	cfg   Config
-	conn  *net.UDPConn
-	mu    sync.Mutex
-	peers map[string]*peer
-	push  chan struct{}
-	done  chan struct{}
-	once  sync.Once
-	wg    conc.WaitGroup
+	cfg  Config
+	conn *net.UDPConn
+	mu   sync.Mutex
+	view *view
+	// why is for what the next round is, and push says that it should be now.
+	why  cause
+	push chan struct{}
+	done chan struct{}
+	once sync.Once
+	wg   conc.WaitGroup
 }
 
 // Open listens and begins to send.
@@ -111,11 +111,11 @@
 		return nil, eris.Wrapf(err, "exchange: listen on %s", cfg.Address)
 	}
 	h := &Hub{
-		cfg:   cfg,
-		conn:  conn,
-		peers: map[string]*peer{},
-		push:  make(chan struct{}, 1),
-		done:  make(chan struct{}),
+		cfg:  cfg,
+		conn: conn,
+		view: newView(cfg),
+		push: make(chan struct{}, 1),
+		done: make(chan struct{}),
 	}
 	h.wg.Go(h.receive)
 	h.wg.Go(h.send)
@@ -137,8 +137,25 @@
 	h.wg.Wait()
 }
 
-// Push sends a bulletin now.
-func (h *Hub) Push() {
+// PushNews tells all others at once that this instance has changed.
+func (h *Hub) PushNews() {
+	h.wake(func(why *cause) { why.news = true })
+}
+
+// PushNeeds asks at once for what is needed.
+func (h *Hub) PushNeeds() {
+	h.wake(func(why *cause) { why.needs = true })
+}
+
+// PushHeld tells those who need something at once what is held now.
+func (h *Hub) PushHeld() {
+	h.wake(func(why *cause) { why.held = true })
+}
+
+func (h *Hub) wake(set func(why *cause)) {
+	h.mu.Lock()
+	set(&h.why)
+	h.mu.Unlock()
 	select {
 	case h.push <- struct{}{}:
 	default:
@@ -149,74 +166,50 @@
 func (h *Hub) SetRecords(records []wire.EntryRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	listed := map[string]bool{}
-	for _, r := range records {
-		if r.Name == h.cfg.Name {
-			continue
-		}
-		addr, err := netip.ParseAddrPort(r.Address)
-		if err != nil {
-			h.cfg.Log.Write(event.BulletinRefused, zap.String("From", r.Name), zap.Error(err))
-
-			continue
-		}
-		listed[r.Name] = true
-		p := h.peers[r.Name]
-		if p == nil {
-			p = &peer{}
-			h.peers[r.Name] = p
-		}
-		p.inStore = true
-		if p.bulletin == nil || p.start == r.Start {
-			p.start = r.Start
-			p.addr = addr
-			p.caller = r.CallerAddress
-			p.domain = r.FailureDomain
-		}
-	}
-	for name, p := range h.peers {
-		if !listed[name] {
-			p.inStore = false
-		}
-	}
+	h.view.setRecords(records)
 }
 
 // Instances are the others that are known.
 func (h *Hub) Instances() []Instance {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := timer.Elapsed()
-	out := make([]Instance, 0, len(h.peers))
-	for name, p := range h.peers {
-		i := Instance{
-			Name:          name,
-			CallerAddress: p.caller,
-			FailureDomain: p.domain,
-			Silent:        -1,
-			InStore:       p.inStore,
-		}
-		if p.bulletin != nil {
-			i.Silent = now - p.heardAt
-			i.Alive = i.Silent <= _aliveFor
-			i.Leaving = p.bulletin.Leaving
-		}
-		out = append(out, i)
-	}
 
-	return out
+	return h.view.instances(timer.Elapsed())
+}
+
+// Meshed says whether all instances tell all others; else relays do.
+func (h *Hub) Meshed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.view.meshed()
 }
 
 func (h *Hub) send() {
 	ticker := time.NewTicker(_period)
 	defer ticker.Stop()
+	passed := timer.Elapsed()
 	for {
 		select {
 		case <-h.done:
 			return
 		case <-ticker.C:
+			h.wake(func(why *cause) { why.period = true })
+
+			continue
 		case <-h.push:
+		}
+		h.mu.Lock()
+		why := h.why
+		h.mu.Unlock()
+		switch {
+		case why.period:
+		case why.members || why.others:
+			time.Sleep(max(_pushGap, passed+_passGap-timer.Elapsed()))
+		default:
 			time.Sleep(_pushGap)
 		}
+		passed = timer.Elapsed()
 		h.sendOnce()
 	}
 }
@@ -225,53 +218,50 @@
 	// Read first: a pause while the bulletin is made must not let what it says
 	// look newer than it is.
 	now := timer.Elapsed()
-	b := h.cfg.Compose()
-	b.SentMS = int(now.Milliseconds())
-	var to []netip.AddrPort
+	own := h.cfg.Compose()
+	own.SentMS = int(now.Milliseconds())
 	h.mu.Lock()
-	for name, p := range h.peers {
-		silent := now - p.heardAt
-		h.noteAlive(name, p, p.bulletin != nil && silent <= _aliveFor)
-		if !p.inStore && silent > _forget {
-			delete(h.peers, name)
-
-			continue
-		}
-		to = append(to, p.addr)
-		if p.bulletin != nil {
-			b.Heard = append(b.Heard, wire.HeardBulletin{
-				Name:   name,
-				SentMS: p.bulletin.SentMS,
-				HeldMS: int(silent.Milliseconds()),
-			})
-		}
+	why := h.why
+	h.why = cause{}
+	h.view.expire(now)
+	h.view.keepSent(&own)
+	var out []outgoing
+	relayed := !h.view.meshed()
+	if relayed {
+		out = h.view.round(&own, why, now)
+	} else {
+		out = h.view.mesh(&own, now)
+	}
+	var everyone Sums
+	speaks := relayed && why.period && h.view.state(now).speaks
+	if speaks {
+		everyone = h.view.everyone(now)
 	}
 	h.mu.Unlock()
-	data, err := json.Marshal(b)
+	if speaks {
+		h.cfg.Sums(everyone)
+	}
+	for _, o := range out {
+		h.write(o)
+	}
+}
+
+func (h *Hub) write(o outgoing) {
+	if len(o.to) == 0 {
+		return
+	}
+	data, err := json.Marshal(o.b)
 	if err != nil || len(data) > _maxSize {
 		h.cfg.Log.Write(event.BulletinRefused, zap.String("From", h.cfg.Name), zap.Int("Bytes", len(data)), zap.Error(err))
 
 		return
 	}
-	for _, addr := range to {
+	for _, addr := range o.to {
 		// A datagram that can't be sent is like one that is lost.
 		_, _ = h.conn.WriteToUDPAddrPort(data, addr)
 	}
 }
 
-// noteAlive logs when an instance is lost or heard again.
-func (h *Hub) noteAlive(name string, p *peer, alive bool) {
-	if p.alive == alive {
-		return
-	}
-	p.alive = alive
-	kind := event.InstanceSilent
-	if alive {
-		kind = event.InstanceHeard
-	}
-	h.cfg.Log.Write(kind, zap.String("Name", name), zap.Int("Start", p.start))
-}
-
 func (h *Hub) receive() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -290,41 +280,40 @@
 
 			continue
 		}
-		if notBefore, ok := h.take(b); ok {
-			h.cfg.Heard(b, notBefore)
-		}
+		h.take(b)
 	}
 }
 
-// take keeps a bulletin that is newer than the last, and finds out from its
-// acknowledgement of one of ours when it was sent at the earliest.
-func (h *Hub) take(b *wire.Bulletin) (notBefore time.Duration, ok bool) {
-	addr, err := netip.ParseAddrPort(b.Address)
-	if err != nil {
-		return 0, false
-	}
+// take works a bulletin in.
+func (h *Hub) take(b *wire.Bulletin) {
+	now := timer.Elapsed()
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.peers[b.Name]
-	if p == nil {
-		p = &peer{}
-		h.peers[b.Name] = p
-	}
-	if p.bulletin != nil && b.SentMS < p.bulletin.SentMS &&
-		(b.Start == p.bulletin.Start || timer.Elapsed()-p.heardAt < _overtaken) {
-		return 0, false
+	notBefore, ok := h.view.take(b, now)
+	if !ok {
+		h.mu.Unlock()
+
+		return
 	}
-	p.start = b.Start
-	p.addr = addr
-	p.caller = b.CallerAddress
-	p.domain = b.FailureDomain
-	p.bulletin = b
-	p.heardAt = timer.Elapsed()
-	for _, heard := range b.Heard {
-		if heard.Name == h.cfg.Name {
-			notBefore = time.Duration(heard.SentMS+heard.HeldMS) * time.Millisecond
+	var news *Sums
+	why := cause{}
+	if h.view.meshed() {
+		if b.Scope == _scopeOwn {
+			news = &Sums{
+				From:      b.Name,
+				Start:     b.Start,
+				Instances: 1,
+				Bulletin:  b,
+			}
 		}
+	} else {
+		news, why = h.view.relayed(b, now)
+	}
+	h.mu.Unlock()
+	h.cfg.Heard(b, notBefore)
+	if news != nil {
+		h.cfg.Sums(*news)
+	}
+	if why != (cause{}) {
+		h.wake(func(all *cause) { all.join(why) })
 	}
-
-	return notBefore, true
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -209,6 +209,15 @@
 	}
 }
 
+// Orders says whether this instance gives the orders to a backend server.
+func (s *Steward) Orders(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.servers[id]
+
+	return l != nil && s.shards[s.shard(&l.entry)].active
+}
+
 // SetServer takes a backend server's entry, new or changed.
 func (s *Steward) SetServer(entry site.BackendServer) {
 	s.mu.Lock()
@@ -308,6 +317,7 @@
 				Fence:   h.Fence,
 				Version: h.Version,
 				LeftMS:  int(h.Left.Milliseconds()) + 1,
+				Holder:  s.cfg.Holder,
 			})
 		}
 	}
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -33,6 +33,9 @@
 	// Leaving says that callers should not be sent here any more.
 	Leaving bool `json:"Leaving"`
 
+	// Members are the instances that are alive, of those for whom the bulletin is.
+	Members []ListedInstance `json:"Members"`
+
 	// Name is the sender's name.
 	Name string `json:"Name"`
 
@@ -42,6 +45,11 @@
 	// Running counts the sender's requests at each backend server.
 	Running []ServerCount `json:"Running"`
 
+	// Scope says for whom Running, Demand and Asked are: empty for the sender, Group
+	// for the sender's group, All for all instances; Note is a word to one instance
+	// between two bulletins.
+	Scope string `json:"Scope"`
+
 	// SentMS is the sender's clock of elapsed time when it sent this.
 	SentMS int `json:"SentMS"`
 
@@ -52,6 +60,9 @@
 	// Start rises with each start of the process.
 	Start int `json:"Start"`
 
+	// Urgent asks a relay to pass on at once what is new.
+	Urgent bool `json:"Urgent"`
+
 	// Version is that of the configuration in force at the sender.
 	Version int `json:"Version"`
 }
@@ -64,6 +75,10 @@
 	// CallerAddress is the IP:port for callers.
 	CallerAddress string `json:"CallerAddress"`
 
+	// Capacity is how much the instance can do, in thousandths of a processor; relays
+	// are chosen by it.
+	Capacity int `json:"Capacity"`
+
 	// FailureDomain is where it runs.
 	FailureDomain string `json:"FailureDomain"`
 
@@ -87,6 +102,14 @@
 	SentMS int `json:"SentMS"`
 }
 
+type ListedInstance struct {
+	// Leaving says that callers should not be sent there any more.
+	Leaving bool `json:"Leaving"`
+
+	// Name is the instance's name.
+	Name string `json:"Name"`
+}
+
 type ServerCount struct {
 	// Count is the number of requests.
 	Count int `json:"Count"`
@@ -127,6 +150,9 @@
 	// Fence is its fencing number.
 	Fence int `json:"Fence"`
 
+	// Holder is the name of the instance that gives the orders.
+	Holder string `json:"Holder"`
+
 	// LeftMS is how long after sending the sender may give orders without renewing
 	// the lease.
 	LeftMS int `json:"LeftMS"`
