Let a few instances read the store for all

Ruled out: longer waits alone (evidence for keys would be too old); stale reads (no proof of freshness, and leaving servers would be seen late).

Change: two instances, or the relay that speaks for each group, watch; they tell in their bulletins which entries have changed, from which revision to which, and how fresh their configuration is. Records are watched for 30 s and gathered. A new instance looks at leases after 0.5 s, when it has heard who else is there.

Limits: what a window allows beyond the rate leaves room for what the bucket has saved.

Tests: entry TestSharedChanges (eight instances that lose a fifth of the words, entries that go and come back; the store asked no more than once each).

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -401,5 +401,9 @@
 	// What others spend unseen, and the rooms that each may spend besides.
 	unseen := min(a.othersAsked, a.rate)*(2*_unseen).Seconds() + b.limits.Slack*_slackShare
 
-	return min(max(allowed-unseen-a.window.highest(a.rate), 0), a.burst/b.limits.Window.Seconds())
+	// What is saved may be spent at any time, but for what the others are taken
+	// to have spent of it.
+	saved := max(a.level-b.unseen(name, now), 0)
+
+	return min(max(allowed-unseen-saved-a.window.highest(a.rate), 0), a.burst/b.limits.Window.Seconds())
 }
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -37,15 +38,17 @@
 	refused  int
 	// largest is the most that a request costs.
 	largest float64
+	burst   float64
 }
 
-func newWorld(seed uint64, instances int) *world {
+func newWorld(seed uint64, instances int, burst float64) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)),
 		now: time.Unix(1000, 0),
 		cut: map[int]bool{},
 
 		largest: 2000,
+		burst:   burst,
 	}
 	for range instances {
 		w.books = append(w.books, nil)
@@ -75,7 +78,7 @@
 	w.books[i].SetWorkspaces([]site.Workspace{{
 		Name:          "w",
 		RatePerSecond: testRate,
-		Burst:         testRate,
+		Burst:         w.burst,
 		CountsTokens:  true,
 	}}, w.now)
 }
@@ -136,7 +139,9 @@
 	return worst
 }
 
-const bound = (testRate*testWindow+testRate)*1.1 + 7500
+func (w *world) bound() float64 {
+	return (testRate*testWindow+w.burst)*(1+testOver) + testSlack
+}
 
 // TestNeverOver asks for many times the limit, from all sides or one, with
 // instances that are cut off, killed and started anew, and finds no window over
@@ -146,8 +151,13 @@
 		name    string
 		asked   float64
 		largest float64
-		play    func(w *world, tick int)
-		one     bool
+		// waves makes demand rise and fall by four fifths of
+		// what is asked, with this period in ticks.
+		waves float64
+		// burst is the workspace's, if it isn't the rate's of a second.
+		burst float64
+		play  func(w *world, tick int)
+		one   bool
 	}{
 		{
 			name:  "seven times the rate",
@@ -160,6 +170,14 @@
 			asked:   1.6 * testRate,
 			largest: 8000,
 		},
+		{
+			// quiet-1 of cellstack-permits: 220565 of 209950, as the burst that
+			// was saved up in a lull came on top of the extra.
+			name:  "demand in waves about the rate",
+			asked: 1.5 * testRate,
+			waves: 300,
+			burst: 3.6 * testRate,
+		},
 		{
 			name:  "all at one instance",
 			asked: 7 * testRate,
@@ -200,9 +218,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			most := 0.0
+			most, bound := 0.0, 0.0
 			for seed := range uint64(40) {
-				w := newWorld(seed, 8)
+				w := newWorld(seed, 8, max(tt.burst, testRate))
 				w.largest = max(w.largest, tt.largest)
 				for tick := range 1500 {
 					if tt.play != nil {
@@ -215,10 +233,13 @@
 					asked := tt.asked
 					if tick < 500 {
 						asked = testRate / 2
+					} else if tt.waves > 0 {
+						asked *= 1 + 0.8*math.Sin(2*math.Pi*float64(tick)/tt.waves)
 					}
 					w.tick(asked, where)
 				}
 				most = max(most, w.worst())
+				bound = w.bound()
 				if worst := w.worst(); worst > bound {
 					t.Errorf("seed %d: %.0f tokens in a window, at most %.0f", seed, worst, bound)
 				}
@@ -233,7 +254,7 @@
 func TestNoWrongRefusals(t *testing.T) {
 	asked, refused := 0, 0
 	for seed := range uint64(10) {
-		w := newWorld(seed, 8)
+		w := newWorld(seed, 8, testRate)
 		for range 200 {
 			w.tick(0, w.anywhere)
 		}
@@ -251,7 +272,7 @@
 // TestLoweredLimit lowers the limit under what is asked: within a window the
 // new one holds.
 func TestLoweredLimit(t *testing.T) {
-	w := newWorld(1, 8)
+	w := newWorld(1, 8, testRate)
 	for range 500 {
 		w.tick(testRate, w.anywhere)
 	}
@@ -274,7 +295,7 @@
 // TestSteadyExcess asks for more than the rate without end, and finds served
 // what each window allows: the burst too, not just the rate.
 func TestSteadyExcess(t *testing.T) {
-	w := newWorld(3, 8)
+	w := newWorld(3, 8, testRate)
 	for range 500 {
 		w.tick(testRate/2, w.anywhere)
 	}
@@ -291,7 +312,7 @@
 	if got := sum / seconds; got < least {
 		t.Errorf("%.0f tokens a second were admitted, want %.0f at least", got, least)
 	}
-	if worst := w.worst(); worst > bound {
-		t.Errorf("%.0f tokens in a window, at most %.0f", worst, bound)
+	if worst := w.worst(); worst > w.bound() {
+		t.Errorf("%.0f tokens in a window, at most %.0f", worst, w.bound())
 	}
 }
--- /dev/null
+++ b/entry/changes_test.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"papayastair.dev/papayastair/objectstore"
+	"papayastair.dev/papayastair/wire"
+)
+
+// entryStore is a store of backend servers' entries with a history.
+type entryStore struct {
+	mu       sync.Mutex
+	revision int
+	entries  map[string]wire.Object
+	history  []wire.Object
+	// removedAt are the revisions of removals in the history, whose objects
+	// bear the version of the change before.
+	removedAt []int
+	watches   int
+	news      chan struct{}
+}
+
+func newEntryStore() *entryStore {
+	return &entryStore{
+		entries: map[string]wire.Object{},
+		news:    make(chan struct{}),
+	}
+}
+
+func (s *entryStore) put(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := wire.Object{
+		Kind:    "servers",
+		Name:    name,
+		Version: s.revision,
+		Value:   value,
+	}
+	if value == "" {
+		o.Version = s.entries[name].Version
+		delete(s.entries, name)
+	} else {
+		s.entries[name] = o
+	}
+	s.history = append(s.history, o)
+	s.removedAt = append(s.removedAt, s.revision)
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *entryStore) list(context.Context, string) (wire.ObjectList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := wire.ObjectList{Version: s.revision}
+	for _, o := range s.entries {
+		l.Objects = append(l.Objects, o)
+	}
+
+	return l, nil
+}
+
+func (s *entryStore) watch(ctx context.Context, _ string, after int) (wire.ObjectList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches++
+	for s.revision <= after {
+		news := s.news
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			s.mu.Lock()
+
+			return wire.ObjectList{}, ctx.Err()
+		case <-news:
+		}
+		s.mu.Lock()
+	}
+	l := wire.ObjectList{Version: s.revision}
+	for i, o := range s.history {
+		if s.removedAt[i] > after {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+
+	return l, nil
+}
+
+// TestSharedChanges lets one instance read entries that come, change, go and
+// come back, and tells eight others, of whose words some are lost: all know the
+// same in the end, and the others have hardly asked the store.
+func TestSharedChanges(t *testing.T) {
+	store := newEntryStore()
+	store.put("s1", "first")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	type instance struct {
+		changes *serverChanges
+		mu      sync.Mutex
+		known   map[string]string
+	}
+	var watches [9]int
+	var instances []*instance
+	for i := range 9 {
+		in := &instance{
+			changes: newServerChanges(),
+			known:   map[string]string{},
+		}
+		instances = append(instances, in)
+		shared := in.changes.share(objectstore.Store{
+			List: store.list,
+			Watch: func(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
+				in.mu.Lock()
+				watches[i]++
+				in.mu.Unlock()
+
+				return store.watch(ctx, kind, after)
+			},
+		}, func() bool { return i == 0 })
+		// The others begin when the reader has been heard.
+		if i > 0 {
+			in.changes.toldAt = time.Now()
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			objectstore.Follow(ctx, objectstore.FollowConfig{
+				Store: shared,
+				Kind:  "servers",
+				Changed: func(o wire.Object) {
+					in.mu.Lock()
+					defer in.mu.Unlock()
+					if o.Value == "" {
+						delete(in.known, o.Name)
+					} else {
+						in.known[o.Name] = o.Value
+					}
+				},
+			})
+		}()
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for round := range 60 {
+		if round < 50 {
+			name := fmt.Sprintf("s%d", rng.IntN(5))
+			if rng.IntN(3) == 0 {
+				store.put(name, "")
+			} else {
+				store.put(name, fmt.Sprint(round))
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		told := instances[0].changes.tell(time.Now())
+		for _, in := range instances[1:] {
+			if rng.IntN(5) > 0 {
+				in.changes.heard(told, time.Now())
+			}
+		}
+	}
+	cancel()
+	wg.Wait()
+	want := map[string]string{}
+	for name, o := range store.entries {
+		want[name] = o.Value
+	}
+	asked := 0
+	for i, in := range instances {
+		if diff := cmp.Diff(want, in.known); diff != "" {
+			t.Errorf("instance %d (-want +got):\n%s", i, diff)
+		}
+		if i > 0 {
+			asked += watches[i]
+		}
+	}
+	if asked > len(instances) {
+		t.Errorf("the others asked the store %d times, want once each at most", asked)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,11 @@
 
 	current  atomic.Pointer[site.Configuration]
 	evidence evidence
-	leaving  atomic.Bool
+	// newest is the newest version of the configuration that any instance has.
+	newest  atomic.Int64
+	told    chan struct{}
+	changes *serverChanges
+	leaving atomic.Bool
 	// leftAt is when the process was told to stop, by timer.Elapsed.
 	leftAt atomic.Int64
 	// serversKnown says that the backend servers' entries were read.
@@ -124,6 +128,8 @@
 		pools:   map[string]*hop.Pool{},
 		needs:   map[string]time.Time{},
 		changed: make(chan struct{}),
+		told:    make(chan struct{}),
+		changes: newServerChanges(),
 		asked:   map[string]peerDemand{},
 		ctx:     ctx,
 		stop:    cancel,
@@ -195,6 +201,7 @@
 		Changed: e.heldChanged,
 		Log:     e.cfg.Log,
 	})
+	e.hub.Start()
 	for address, handle := range map[string]func(r *hop.Request){
 		s.CallerAddress:  e.handle,
 		s.ReadyAddress:   e.handleReady,
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -17,14 +17,22 @@
 
 const (
 	// _evidenceWait is how long a watch of the configuration waits: each
-	// answer is evidence that nothing has changed.
-	_evidenceWait = time.Second
-	// _entryWait is how long other watches wait.
-	_entryWait = 15 * time.Second
+	// answer is evidence that nothing has changed, for all who are told of it.
+	_evidenceWait = 600 * time.Millisecond
+	// _evidenceOld is how old evidence that others passed on may be before the
+	// store is asked: a wait, four hops and their acknowledgements.
+	_evidenceOld = 2200 * time.Millisecond
+	// _entryWait is how long the watch of backend servers' entries waits, and
+	// _recordWait that of the instances' records.
+	_entryWait  = 5 * time.Second
+	_recordWait = 30 * time.Second
 	// _entryGather is the pause after changes of backend servers' entries,
-	// which come often while adapters move; half of the time within which
+	// which come often while adapters move; a quarter of the time within which
 	// a leaving backend server must get no more requests.
-	_entryGather = time.Second
+	_entryGather = 500 * time.Millisecond
+	// _recordGather is the pause after changes of records: all come at once when
+	// all instances start.
+	_recordGather = time.Second
 	// _keyMargin is how long before the bound on withdrawn keys requests with
 	// keys are refused: the time from the last check to the last byte sent.
 	_keyMargin = 700 * time.Millisecond
@@ -96,6 +104,9 @@
 		return list(ctx, kind)
 	}
 	store.Watch = func(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
+		if err := e.untilOld(ctx); err != nil {
+			return wire.ObjectList{}, err
+		}
 		asked = timer.Elapsed()
 
 		return watch(ctx, kind, after)
@@ -113,6 +124,50 @@
 	})
 }
 
+// untilOld waits while others read the configuration for this instance: until
+// it is to read it for others itself, one has a newer version, or what they say
+// is old.
+func (e *Entry) untilOld(ctx context.Context) error {
+	for {
+		told := e.toldChannel()
+		cfg := e.current.Load()
+		left := _evidenceOld - e.evidence.age()
+		if cfg == nil || left <= 0 || e.hub.Reads() || e.newest.Load() > int64(cfg.Version) {
+			return nil
+		}
+		wait := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+
+			return ctx.Err()
+		case <-told:
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+}
+
+// toldChannel is closed when another instance has a newer configuration.
+func (e *Entry) toldChannel() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.told
+}
+
+// noteVersion notes which version another instance has.
+func (e *Entry) noteVersion(version int) {
+	if int64(version) <= e.newest.Load() {
+		return
+	}
+	e.newest.Store(int64(version))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.told)
+	e.told = make(chan struct{})
+}
+
 func (e *Entry) noteEvidence(at time.Duration) {
 	if e.evidence.note(at) {
 		e.cfg.Log.Write(event.EvidenceRegained, zap.Duration("Age", timer.Elapsed()-at))
@@ -134,6 +189,9 @@
 	e.limits.Store(&cfg.Limits)
 	e.book.SetWorkspaces(cfg.Workspaces, time.Now())
 	e.current.Store(cfg)
+	if e.hub.Reads() {
+		e.hub.PushNews()
+	}
 	e.cfg.Log.Write(event.DeclarationTaken, zap.Int("Version", cfg.Version), zap.Int("Revision", cfg.Revision),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Services", len(cfg.Services)), zap.Int("Workspaces", len(cfg.Workspaces)))
 }
@@ -164,11 +222,10 @@
 		missing: map[string]bool{},
 	}
 	objectstore.Follow(e.ctx, objectstore.FollowConfig{
-		Store:   f.wrap(e.cfg.Store("Servers", _entryWait)),
+		Store:   e.changes.share(f.wrap(e.cfg.Store("Servers", _entryWait)), e.hub.Reads),
 		Kind:    d.ServerKind,
 		Changed: f.changed,
 		Current: func(int) { e.serversKnown.Store(true) },
-		Gather:  _entryGather,
 		Log:     e.cfg.Log,
 	})
 }
@@ -299,8 +356,9 @@
 
 func (e *Entry) followRecords() {
 	objectstore.Follow(e.ctx, objectstore.FollowConfig{
-		Store: e.cfg.Store("Records", _entryWait),
-		Kind:  _recordKind,
+		Store:  e.cfg.Store("Records", _recordWait),
+		Kind:   _recordKind,
+		Gather: _recordGather,
 		Changed: func(object wire.Object) {
 			e.records.mu.Lock()
 			defer e.records.mu.Unlock()
--- a/entry/tell.go
+++ b/entry/tell.go
@@ -139,8 +139,9 @@
 	demand []wire.TargetDemand
 }
 
-// compose makes the bulletin of this instance.
-func (e *Entry) compose() wire.Bulletin {
+// compose makes the bulletin of this instance, which may read the store for
+// others.
+func (e *Entry) compose(reads bool) wire.Bulletin {
 	s := e.cfg.Settings
 	now := time.Now()
 	b := wire.Bulletin{
@@ -173,6 +174,9 @@
 	}
 	e.board.Check(now)
 	e.sumDemand(b.Demand, now)
+	if reads {
+		b.Changes = e.changes.tell(now)
+	}
 	b.Shards, b.Held = e.steward.Held()
 	e.takeHeld(b.Held)
 
@@ -196,6 +200,10 @@
 		}
 	}
 	e.takeForeign(b.Held, now)
+	e.noteVersion(b.Version)
+	if b.Changes.UpTo > 0 && b.EvidenceAgeMS >= 0 && b.EvidenceAgeMS <= int(_evidenceOld.Milliseconds()) {
+		e.changes.heard(b.Changes, now)
+	}
 	cfg := e.current.Load()
 	if cfg != nil && b.Version == cfg.Version && b.EvidenceAgeMS >= 0 && notBefore > 0 {
 		// The bulletin was sent at notBefore or later, and the sender's
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -5,6 +5,7 @@
 //
 //	h, err := exchange.Open(exchange.Config{...})
 //	defer h.Close()
+//	h.Start()
 //	h.SetRecords(records) // whom to tell, out of the store
 //	h.PushNews()          // tell now
 //
@@ -56,7 +57,8 @@
 	// Capacity is how much this instance can do, in thousandths of a processor.
 	Capacity int
 	// Compose makes the bulletin to send; the hub fills in Heard and SentMS.
-	Compose func() wire.Bulletin
+	// reads says that it reads the store for others.
+	Compose func(reads bool) wire.Bulletin
 	// Heard takes a bulletin as it came: what is needed and held, and how fresh
 	// the sender's configuration is. notBefore is the time, by timer.Elapsed,
 	// that the bulletin was sent at or after; 0 if unknown.
@@ -100,7 +102,7 @@
 	wg   conc.WaitGroup
 }
 
-// Open listens and begins to send.
+// Open listens. Nothing is sent or taken before Start.
 func Open(cfg Config) (*Hub, error) {
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Address)
 	if err != nil {
@@ -117,12 +119,16 @@
 		push: make(chan struct{}, 1),
 		done: make(chan struct{}),
 	}
-	h.wg.Go(h.receive)
-	h.wg.Go(h.send)
 
 	return h, nil
 }
 
+// Start begins to send and to receive.
+func (h *Hub) Start() {
+	h.wg.Go(h.receive)
+	h.wg.Go(h.send)
+}
+
 // Address is the IP:port that it listens on.
 func (h *Hub) Address() string {
 	return h.conn.LocalAddr().String()
@@ -185,6 +191,15 @@
 	return h.view.meshed()
 }
 
+// Reads says whether this instance reads the platform's store for others: the
+// relay that speaks for its group, or where all tell all, two of them.
+func (h *Hub) Reads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.view.reads(timer.Elapsed())
+}
+
 func (h *Hub) send() {
 	ticker := time.NewTicker(_period)
 	defer ticker.Stop()
@@ -218,7 +233,7 @@
 	// Read first: a pause while the bulletin is made must not let what it says
 	// look newer than it is.
 	now := timer.Elapsed()
-	own := h.cfg.Compose()
+	own := h.cfg.Compose(h.Reads())
 	own.SentMS = int(now.Milliseconds())
 	h.mu.Lock()
 	why := h.why
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -341,6 +341,7 @@
 		return nil
 	}
 	o := outgoing{b: v.head(own, _scopeNote)}
+	o.b.Changes = wire.ServerChanges{}
 	o.b.Needs = own.Needs
 	holders := map[string]bool{}
 	for _, sh := range v.sumOthers(s, now).shards {
@@ -361,6 +362,7 @@
 		return nil
 	}
 	o := outgoing{b: v.head(own, _scopeNote)}
+	o.b.Changes = wire.ServerChanges{}
 	o.b.Shards = own.Shards
 	o.b.Held = own.Held
 	for _, p := range v.peers {
@@ -418,6 +420,7 @@
 		Version:       own.Version,
 		EvidenceAgeMS: own.EvidenceAgeMS,
 		SentMS:        own.SentMS,
+		Changes:       own.Changes,
 		Scope:         scope,
 	}
 }
@@ -540,3 +543,30 @@
 
 	return spent
 }
+
+// reads says whether this instance reads the store for others.
+func (v *view) reads(now time.Duration) bool {
+	if !v.meshed() {
+		return v.state(now).speaks
+	}
+	list := []candidate{{
+		name:     v.name,
+		capacity: v.capacity,
+	}}
+	for name, p := range v.peers {
+		if p.isAlive(now) && !p.leaving {
+			list = append(list, candidate{
+				name:     name,
+				capacity: p.capacity,
+			})
+		}
+	}
+	rank(list)
+	for _, c := range list[:min(_readers, len(list))] {
+		if c.name == v.name {
+			return true
+		}
+	}
+
+	return false
+}
--- a/steward/lease.go
+++ b/steward/lease.go
@@ -30,6 +30,9 @@
 	// instance looks at the lease.
 	_holderSilence = 1500 * time.Millisecond
 	_lookEvery     = 300 * time.Millisecond
+	// _firstLook is how long after its start an instance looks first: it has
+	// heard by then who else is there, so that not all look.
+	_firstLook = 500 * time.Millisecond
 	// _unrenewed is for how long a lease must stay at one version to be taken
 	// from a silent holder: one that lives renews it more often.
 	_unrenewed  = 1200 * time.Millisecond
@@ -84,7 +87,7 @@
 func NewLease(cfg LeaseConfig) *Lease {
 	return &Lease{
 		cfg:   cfg,
-		heard: cfg.Elapsed() - _holderSilence,
+		heard: cfg.Elapsed() - _holderSilence + _firstLook,
 	}
 }
 
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -14,6 +14,9 @@
 	// CallerAddress is the IP:port for callers.
 	CallerAddress string `json:"CallerAddress"`
 
+	// Changes corresponds to the JSON schema field "Changes".
+	Changes ServerChanges `json:"Changes"`
+
 	// Demand is what the sender's callers ask for.
 	Demand []TargetDemand `json:"Demand"`
 
@@ -110,6 +113,20 @@
 	Name string `json:"Name"`
 }
 
+// ServerChanges are the changes of backend servers' entries that the store has
+// told the sender lately: all of those after one revision and up to another. Both
+// are 0 if the sender doesn't read them itself.
+type ServerChanges struct {
+	// After is the revision after which all changes are here.
+	After int `json:"After"`
+
+	// Entries are the entries as they are now.
+	Entries []ServerEntry `json:"Entries"`
+
+	// UpTo is the revision up to which they are.
+	UpTo int `json:"UpTo"`
+}
+
 type ServerCount struct {
 	// Count is the number of requests.
 	Count int `json:"Count"`
@@ -118,6 +135,21 @@
 	Server string `json:"Server"`
 }
 
+type ServerEntry struct {
+	// Revision is that of the entry's last change; that of a removal may be the
+	// change before.
+	Revision int `json:"Revision"`
+
+	// Server is the backend server's id.
+	Server string `json:"Server"`
+
+	// Told is the revision of the store's answer that brought it.
+	Told int `json:"Told"`
+
+	// Value is the entry as the store has it; empty if it is gone.
+	Value string `json:"Value"`
+}
+
 type ServerTargets struct {
 	// Server is the backend server's id.
 	Server string `json:"Server"`
