Rest connections no longer than a service bears

The pool trusted the time that the worker told.

Ruled out: sending such a request again (it may have run); fresh connections for all that may run once (new connections are dear).

Change: a reset of a connection that had rested halves, for all pools of the service in this instance and for 30 s, how long one may rest.

Figures: TestForgottenConnections, three servers of a service that forget after 100 ms, rests of 150 ms: 1 of 18 requests lost.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 	records recordBook
 	mu      sync.Mutex
 	pools   map[string]*hop.Pool
+	rests   map[string]*hop.Rest
 	needs   map[string]time.Time
 	changed chan struct{}
 	asked   map[string]peerDemand
@@ -126,6 +127,7 @@
 		}),
 		demand:  newDemandCounter(),
 		pools:   map[string]*hop.Pool{},
+		rests:   map[string]*hop.Rest{},
 		needs:   map[string]time.Time{},
 		changed: make(chan struct{}),
 		told:    make(chan struct{}),
@@ -333,7 +335,10 @@
 	p := e.pools[id]
 	if p == nil {
 		dialed := metrics.GetOrRegisterCounter("Entry.Dialed."+s.Service, e.cfg.Registry)
-		p = hop.NewPool(s.Address, func() { dialed.Inc(1) })
+		if e.rests[s.Service] == nil {
+			e.rests[s.Service] = &hop.Rest{}
+		}
+		p = hop.NewPool(s.Address, func() { dialed.Inc(1) }, e.rests[s.Service])
 		e.pools[id] = p
 	}
 
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,8 +21,42 @@
 	// _idleDefault is how long a connection is kept when the backend server
 	// doesn't say.
 	_idleDefault = 4 * time.Second
+	// _restShare is the part of the rest after which a connection was forgotten
+	// that others are allowed, _restLeast the least, and _restMemory how long
+	// that holds.
+	_restShare  = 0.5
+	_restLeast  = 50 * time.Millisecond
+	_restMemory = 30 * time.Second
 )
 
+// Rest is how long idle connections to the backend servers of one service may
+// rest. Some forget connections sooner than they say, without closing them, and
+// reset what is sent next, which can't always be sent again.
+type Rest struct {
+	mu   sync.Mutex
+	most time.Duration
+	at   time.Time
+}
+
+// allows says whether a connection that rested so long may be used.
+func (r *Rest) allows(rested time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.most == 0 || now.Sub(r.at) > _restMemory || rested <= r.most
+}
+
+// forgotten notes that a connection that rested so long was reset.
+func (r *Rest) forgotten(rested time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := max(time.Duration(float64(rested)*_restShare), _restLeast)
+	if r.most == 0 || now.Sub(r.at) > _restMemory || most < r.most {
+		r.most = most
+	}
+	r.at = now
+}
+
 // ErrDial wraps the error of a connection that could not be made: nothing of
 // the request has left.
 type ErrDial struct {
@@ -47,13 +82,16 @@
 	open    int
 	closed  bool
 	dialed  func()
+	rest    *Rest
 }
 
-// NewPool returns an empty pool; dialed is called for each new connection.
-func NewPool(address string, dialed func()) *Pool {
+// NewPool returns an empty pool; dialed is called for each new connection, and
+// rest is shared by the pools of a service.
+func NewPool(address string, dialed func(), rest *Rest) *Pool {
 	return &Pool{
 		address: address,
 		dialed:  dialed,
+		rest:    rest,
 	}
 }
 
@@ -72,7 +110,9 @@
 		if c == nil {
 			return p.dial(timeout)
 		}
-		if time.Now().Before(c.idleUntil) && isQuiet(c.nc) {
+		now := time.Now()
+		c.rested = now.Sub(c.idleSince)
+		if now.Before(c.idleUntil) && p.rest.allows(c.rested, now) && isQuiet(c.nc) {
 			c.Reused = true
 
 			return c, nil
@@ -173,8 +213,11 @@
 	out       []byte
 	head      *Head
 	body      *body
+	idleSince time.Time
 	idleUntil time.Time
-	once      sync.Once
+	// rested is how long it was idle before its present request.
+	rested time.Duration
+	once   sync.Once
 	sent      bool
 }
 
@@ -214,6 +257,7 @@
 	out = append(out, body...)
 	_, err := c.nc.Write(out)
 	c.sent = err == nil
+	c.noteForgotten(err)
 	if cap(out) <= _maxAnswerHead {
 		c.out = out
 	}
@@ -221,11 +265,20 @@
 	return err
 }
 
+// noteForgotten notes a reset of a connection that had rested.
+func (c *Conn) noteForgotten(err error) {
+	if c.Reused && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		c.pool.rest.forgotten(c.rested, time.Now())
+	}
+}
+
 // ReadHead reads the head of the answer; interim answers are passed over.
 func (c *Conn) ReadHead(method string) (*Head, error) {
 	for {
 		text, err := readHead(c.br, _maxAnswerHead)
 		if err != nil {
+			c.noteForgotten(err)
+
 			return nil, err
 		}
 		h, err := parseResponse(text)
@@ -295,7 +348,8 @@
 			keep = time.Duration(seconds)*time.Second - _idleMargin
 		}
 	}
-	c.idleUntil = time.Now().Add(keep)
+	c.idleSince = time.Now()
+	c.idleUntil = c.idleSince.Add(keep)
 	c.head = nil
 	c.body = nil
 	c.sent = false
--- /dev/null
+++ b/hop/backend_test.go
@@ -0,0 +1,117 @@
+package hop_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"papayastair.dev/papayastair/hop"
+)
+
+// forgetful is a backend server that forgets connections that rested for a
+// while, and resets them when something is sent on them.
+func forgetful(t *testing.T, after time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				answered := time.Now()
+				for {
+					if _, err := br.Peek(1); err != nil {
+						return
+					}
+					if time.Since(answered) > after {
+						// With bytes unread, this resets.
+						_ = nc.(*net.TCPConn).SetLinger(0)
+
+						return
+					}
+					for {
+						line, err := br.ReadString('\n')
+						if err != nil {
+							return
+						}
+						if line == "\r\n" {
+							break
+						}
+					}
+					_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+					answered = time.Now()
+				}
+			}()
+		}
+	}()
+
+	return listener.Addr().String()
+}
+
+// TestForgottenConnections sends requests with rests that three backend servers
+// of a service don't bear: one is lost, and the others get connections that are
+// young enough.
+func TestForgottenConnections(t *testing.T) {
+	const (
+		forgotten = 100 * time.Millisecond
+		rest      = 150 * time.Millisecond
+		rounds    = 6
+	)
+	shared := &hop.Rest{}
+	var pools []*hop.Pool
+	for range 3 {
+		p := hop.NewPool(forgetful(t, forgotten), func() {}, shared)
+		defer p.Close()
+		pools = append(pools, p)
+	}
+	lost := 0
+	for range rounds {
+		for _, p := range pools {
+			if !exchangeOnce(p) {
+				lost++
+			}
+		}
+		time.Sleep(rest)
+	}
+	if lost != 1 {
+		t.Errorf("%d of %d requests were lost, want 1", lost, rounds*len(pools))
+	}
+}
+
+func exchangeOnce(p *hop.Pool) bool {
+	c, err := p.Get(time.Second)
+	if err != nil {
+		return false
+	}
+	head := &hop.Head{
+		Method: "GET",
+		Target: "/",
+	}
+	if err := c.Send(head, nil, nil, false); err != nil {
+		c.Close()
+
+		return false
+	}
+	if _, err := c.ReadHead("GET"); err != nil {
+		c.Close()
+
+		return false
+	}
+	if _, err := c.ReadAll(100); err != nil {
+		c.Close()
+
+		return false
+	}
+	c.Release(true)
+
+	return true
+}
