Soak the real program in faults from outside

Four processes of cmd/papayastair-entry, the stand-ins of store and backend servers, a loopback proxy before each (delay, reset, silence, answers lost), signals (kill, pause, stop, reload, kill all), the store down, slow or losing replies; two series of faults at once, and one instance cut off from the store when a key is withdrawn. 24 callers keep connections as long as they last. Checked from what they and the backend servers saw: run once, refused means not run, answers the request's own and whole, requests unchanged, withdrawn keys, the limit in each window, orders of two holders a turn apart and rising fences, no process that ends by itself, and all serving again in 12 s.

Found: SIGHUP before a process has set its handlers ends it (a process that was just started; the runtime's default, before main). Nothing in the program can change that; the soak now sends it to instances that are ready.

Not played: clocks (the time of day can't be changed for one process here) and harmed links between instances (UDP).

--- /dev/null
+++ b/soak/calls_test.go
@@ -0,0 +1,148 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	_callers = 24
+	// _pause is between a caller's requests, and _patience its deadline.
+	_pause    = 15 * time.Millisecond
+	_patience = 2500 * time.Millisecond
+	_events   = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+)
+
+// call is one request as its caller saw it.
+type call struct {
+	id     string
+	kind   string
+	key    string
+	path   string
+	body   string
+	sent   time.Time
+	ended  time.Time
+	status int
+	answer string
+	seal   string
+	// whole says that the answer didn't break off.
+	whole bool
+	// answerID is the id that the answer bore.
+	answerID string
+}
+
+// history is all calls.
+type history struct {
+	mu    sync.Mutex
+	calls []call
+}
+
+func (h *history) add(c call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, c)
+}
+
+// caller sends requests, one after the other, on connections that it keeps as
+// long as they last.
+type caller struct {
+	f       *fleet
+	history *history
+	rng     *rand.Rand
+	name    string
+	conn    net.Conn
+	br      *bufio.Reader
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.drop()
+	for n := 0; ctx.Err() == nil; n++ {
+		c.history.add(c.request(fmt.Sprintf("%s-%d", c.name, n)))
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * _pause))))
+	}
+}
+
+func (c *caller) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// request sends one request with an id of its own.
+func (c *caller) request(id string) call {
+	kinds := []string{"once", "again", "stream", "resume"}
+	ways := map[string][]string{
+		"once":   {"whole", "whole", "whole", "error", "full", "short"},
+		"again":  {"whole", "whole", "whole", "error", "full", "short", "late"},
+		"stream": {"events", "events", "slow", "cut"},
+		"resume": {"events", "events", "slow", "cut"},
+	}
+	kind := kinds[c.rng.IntN(len(kinds))]
+	way := ways[kind]
+	call := call{
+		id:   id,
+		kind: kind,
+		key:  []string{"k1", "k2", "k3", "k3"}[c.rng.IntN(4)],
+		path: "/" + kind + "/a%2fb//" + way[c.rng.IntN(len(way))],
+		body: strings.Repeat(id, 1+c.rng.IntN(20)),
+		sent: time.Now(),
+	}
+	model := ""
+	if kind == "stream" || kind == "resume" {
+		model = "X-Model: m\r\n"
+		if c.rng.IntN(3) == 0 {
+			model = fmt.Sprintf("X-Model: m/a%d\r\n", 1+c.rng.IntN(6))
+		}
+	}
+	if c.conn == nil {
+		p := c.f.procs[c.rng.IntN(len(c.f.procs))]
+		conn, err := net.DialTimeout("tcp", p.front(), 200*time.Millisecond)
+		if err != nil {
+			call.ended = time.Now()
+
+			return call
+		}
+		c.conn = conn
+		c.br = bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(_patience))
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		call.path, _host, id, _patience.Milliseconds(), call.key, model, len(call.body), call.body)
+	if err == nil {
+		err = c.read(&call)
+	}
+	call.ended = time.Now()
+	if err != nil {
+		c.drop()
+	}
+
+	return call
+}
+
+func (c *caller) read(call *call) error {
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	call.status = resp.StatusCode
+	call.seal = resp.Header.Get("X-Server-Seal")
+	call.answerID = resp.Header.Get("X-Request-Id")
+	body, err := io.ReadAll(resp.Body)
+	call.answer = string(body)
+	call.whole = err == nil
+	if resp.Close {
+		return io.EOF
+	}
+
+	return err
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,154 @@
+package soak_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"papayastair.dev/papayastair/standin"
+)
+
+// record is all that callers and backend servers saw.
+type record struct {
+	calls []call
+	runs  []standin.WorkerRun
+	// orders are by backend server.
+	orders map[string][]standin.WorkerOrder
+	// revoked is when a key was withdrawn for good; zero if none was.
+	revoked time.Time
+	// woken are when paused processes went on.
+	woken []time.Time
+}
+
+// _thaw is how long after a pause late orders are excused.
+const _thaw = 400 * time.Millisecond
+
+// check returns each break of a promise, in words.
+func (r *record) check() []string {
+	var out []string
+	calls := map[string]call{}
+	for _, c := range r.calls {
+		calls[c.id] = c
+		out = append(out, checkAnswer(c)...)
+	}
+	runs := map[string][]standin.WorkerRun{}
+	for _, run := range r.runs {
+		c, ok := calls[run.ID]
+		if !ok {
+			out = append(out, fmt.Sprintf("%s: run, and no caller sent it", run.ID))
+
+			continue
+		}
+		runs[run.ID] = append(runs[run.ID], run)
+		out = append(out, checkRun(c, run)...)
+		if c.key == "k2" && !r.revoked.IsZero() && c.sent.After(r.revoked.Add(_revoke)) {
+			out = append(out, fmt.Sprintf("%s: run %s after its key was withdrawn", run.ID, run.Began.Sub(r.revoked)))
+		}
+	}
+	for id, list := range runs {
+		c := calls[id]
+		once := c.kind == "once" || c.kind == "stream"
+		if once && len(list) > 1 {
+			out = append(out, fmt.Sprintf("%s: ran %d times, may run once", id, len(list)))
+		}
+		if once && slices.Contains([]int{408, 421, 429, 503}, c.status) {
+			out = append(out, fmt.Sprintf("%s: answered %d, and ran", id, c.status))
+		}
+	}
+	out = append(out, r.checkLimit(calls)...)
+
+	return append(out, r.checkOrders()...)
+}
+
+// checkAnswer finds answers that aren't the backend server's own.
+func checkAnswer(c call) []string {
+	if c.status != 200 {
+		return nil
+	}
+	var out []string
+	if c.answerID != c.id || !strings.HasPrefix(c.seal, "seal-") {
+		out = append(out, fmt.Sprintf("%s: success with id %q and signature %q", c.id, c.answerID, c.seal))
+	}
+	want := "whole"
+	if c.kind == "stream" || c.kind == "resume" {
+		want = _events
+	}
+	if c.whole && c.answer != want || !strings.HasPrefix(want, c.answer) {
+		out = append(out, fmt.Sprintf("%s: success with body %q, whole %v", c.id, c.answer, c.whole))
+	}
+
+	return out
+}
+
+// checkRun finds requests that were changed on their way.
+func checkRun(c call, run standin.WorkerRun) []string {
+	workspace := map[string]string{"k1": "desk", "k2": "desk", "k3": "small"}[c.key]
+	if run.Head.RequestURI != c.path || run.Body != c.body || run.Head.Method != "POST" ||
+		run.Head.Header.Get("X-Tenant") != workspace || run.Head.Header.Get("X-Key") != "" {
+		return []string{fmt.Sprintf("%s: sent %s with %d bytes by %s, ran %s %s with %d bytes for %q", c.id, c.path, len(c.body), workspace,
+			run.Head.Method, run.Head.RequestURI, len(run.Body), run.Head.Header.Get("X-Tenant"))}
+	}
+
+	return nil
+}
+
+// checkLimit finds windows in which the limited workspace had more than is
+// allowed. Runs of one request count once, where it began first.
+func (r *record) checkLimit(calls map[string]call) []string {
+	first := map[string]time.Time{}
+	for _, run := range r.runs {
+		if calls[run.ID].key != "k3" {
+			continue
+		}
+		if at, ok := first[run.ID]; !ok || run.Began.Before(at) {
+			first[run.ID] = run.Began
+		}
+	}
+	// What is both sent and begun in a window counts: by the times of sending,
+	// windows that begin with each request.
+	type entry struct{ sent, began time.Time }
+	var list []entry
+	for id, began := range first {
+		list = append(list, entry{
+			sent:  calls[id].sent,
+			began: began,
+		})
+	}
+	slices.SortFunc(list, func(a, b entry) int { return a.sent.Compare(b.sent) })
+	most := (_rate*_window.Seconds()+_burst)*(1+_over) + _slack
+	for i, from := range list {
+		n := 0
+		for _, e := range list[i:] {
+			if e.began.Before(from.sent.Add(_window)) {
+				n++
+			}
+		}
+		if float64(n) > most {
+			return []string{fmt.Sprintf("%d requests of the limited workspace in a window, at most %.0f", n, most)}
+		}
+	}
+
+	return nil
+}
+
+// checkOrders finds orders of two holders without a turn between.
+func (r *record) checkOrders() []string {
+	var out []string
+	for server, orders := range r.orders {
+		for i := 1; i < len(orders); i++ {
+			a, b := orders[i-1], orders[i]
+			excused := slices.ContainsFunc(r.woken, func(at time.Time) bool {
+				return b.Arrived.After(at) && b.Arrived.Before(at.Add(_thaw)) || a.Arrived.After(at) && a.Arrived.Before(at.Add(_thaw))
+			})
+			if a.Holder != b.Holder && b.Arrived.Sub(a.Arrived) < _turn && !excused {
+				out = append(out, fmt.Sprintf("%s: orders of %s and %s %s apart", server, a.Holder, b.Holder, b.Arrived.Sub(a.Arrived)))
+			}
+			if a.Holder != b.Holder && a.Fence == b.Fence || b.Fence < a.Fence && !excused {
+				out = append(out, fmt.Sprintf("%s: fence %d of %s, then %d of %s", server, a.Fence, a.Holder, b.Fence, b.Holder))
+			}
+		}
+	}
+
+	return out
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,27 @@
 	AdapterPlaces int
 	// Store is where it registers.
 	Store objectstore.Store
+	// Via gives the address at which it is to be reached instead of its own;
+	// nil means its own.
+	Via func(address string) string
+}
+
+// WorkerRun is one run of a request at a Worker.
+type WorkerRun struct {
+	// ID is the request's, and Began when the run did.
+	ID    string
+	Began time.Time
+	// Head and Body are as they arrived.
+	Head *http.Request
+	Body string
+}
+
+// WorkerOrder is one order that arrived at a Worker.
+type WorkerOrder struct {
+	// Holder and Fence are what it bore, and Arrived is when it came.
+	Holder  string
+	Fence   int
+	Arrived time.Time
 }
 
 // Worker is a backend server of the users' platform in their published
@@ -60,6 +82,8 @@
 	listener net.Listener
 	mu       sync.Mutex
 	runs     map[string]int
+	log      []WorkerRun
+	ordered  []WorkerOrder
 	heads    map[string]*http.Request
 	bodies   map[string]string
 	held     map[string][]string
@@ -93,6 +117,9 @@
 		held:     map[string][]string{},
 		conns:    map[net.Conn]struct{}{},
 	}
+	if cfg.Via != nil {
+		w.Address = cfg.Via(w.Address)
+	}
 	for _, m := range cfg.Models {
 		w.held[m] = []string{}
 	}
@@ -125,6 +152,22 @@
 	return w.runs[id]
 }
 
+// Log lists all runs, and Ordered all orders, as they came.
+func (w *Worker) Log() []WorkerRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Clone(w.log)
+}
+
+// Ordered lists the orders that arrived.
+func (w *Worker) Ordered() []WorkerOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Clone(w.ordered)
+}
+
 // Seen is the head and the body of a request as they arrived, nil if it didn't.
 func (w *Worker) Seen(id string) (*http.Request, string) {
 	w.mu.Lock()
@@ -229,6 +272,12 @@
 	w.bodies[id] = body
 	if mode != "full" {
 		w.runs[id]++
+		w.log = append(w.log, WorkerRun{
+			ID:    id,
+			Began: time.Now(),
+			Head:  r,
+			Body:  body,
+		})
 	}
 	w.mu.Unlock()
 
@@ -340,12 +389,19 @@
 		Model   string `json:"model"`
 		Adapter string `json:"adapter"`
 		Expect  int    `json:"expect"`
+		Holder  string `json:"holder"`
+		Fence   int    `json:"fence"`
 	}
 	if err := json.Unmarshal([]byte(body), &o); err != nil {
 		return send(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.ordered = append(w.ordered, WorkerOrder{
+		Holder:  o.Holder,
+		Fence:   o.Fence,
+		Arrived: time.Now(),
+	})
 	if o.Expect != w.orders {
 		return send(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
 	}
