Give orders from where there is most processor, and ask again before they leave

One of the smallest machines was late with everything, and gave orders.

Ruled out: a longer margin before a lease ends (an order can be late by more).

An instance that hears nobody names itself at most, not all that the store still has. Before a request is passed on, its caller's connection is asked itself whether it is closed: the reader may not have had the processor since. Of the groups, two read the store, not all.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -359,13 +360,24 @@
 }
 
 // stewardDelay is how much later than the instance that comes first for a shard
-// this one looks at its lease, so that the shards spread over the instances.
+// this one looks at its lease: whoever can do most comes first, and the shards
+// spread over equals.
 func (e *Entry) stewardDelay(shard int) time.Duration {
-	rank := func(name string) uint64 { return xxhash.Sum64String(strconv.Itoa(shard) + "|" + name) }
-	own := rank(e.cfg.Settings.Name)
+	type place struct {
+		capacity int
+		hash     uint64
+	}
+	rank := func(name string, capacity int) place {
+		return place{
+			capacity: capacity,
+			hash:     xxhash.Sum64String(strconv.Itoa(shard) + "|" + name),
+		}
+	}
+	own := rank(e.cfg.Settings.Name, e.cfg.Settings.Capacity)
 	before := 0
 	for _, i := range e.hub.Instances() {
-		if i.Alive && !i.Leaving && rank(i.Name) > own {
+		other := rank(i.Name, i.Capacity)
+		if i.Alive && !i.Leaving && cmp.Or(cmp.Compare(other.capacity, own.capacity), cmp.Compare(other.hash, own.hash)) > 0 {
 			before++
 		}
 	}
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -59,24 +59,19 @@
 	}}, d.EncodeLocate(addresses, e.ttl()))
 }
 
-// addresses are the instances that a caller should use. An instance that
-// hears no other names itself and, as a last resort, all in the store.
+// addresses are the instances that a caller should use. One that hears no other
+// names itself at most: what the store has may be long gone, and the caller
+// asks another instance.
 func (e *Entry) addresses(_ LocateQuestion) []string {
-	var alive, recorded []string
+	var alive []string
 	if e.isReady() {
 		alive = append(alive, e.cfg.Settings.CallerAddress)
 	}
 	for _, i := range e.hub.Instances() {
-		switch {
-		case i.Alive && !i.Leaving:
+		if i.Alive && !i.Leaving {
 			alive = append(alive, i.CallerAddress)
-		case i.InStore && !i.Leaving:
-			recorded = append(recorded, i.CallerAddress)
 		}
 	}
-	if len(alive) == 0 {
-		alive = recorded
-	}
 	if len(alive) == 0 && e.current.Load() != nil {
 		alive = append(alive, e.cfg.Settings.CallerAddress)
 	}
--- a/exchange/group.go
+++ b/exchange/group.go
@@ -19,8 +19,8 @@
 	// _relays is how many relays each instance of a group tells: one speaks,
 	// the other stands by with the same knowledge.
 	_relays = 2
-	// _readers is how many instances read the store for all where all tell all:
-	// one may be lost or cut off without a gap.
+	// _readers is how many instances read the store for all: one may be lost or
+	// cut off without a gap.
 	_readers = 2
 	// _relaySilence is after how long without a word a relay isn't used.
 	_relaySilence = 900 * time.Millisecond
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -78,6 +78,8 @@
 	CallerAddress string
 	// FailureDomain is where it runs.
 	FailureDomain string
+	// Capacity is how much it can do, in thousandths of a processor.
+	Capacity int
 	// Alive says that it was heard lately.
 	Alive bool
 	// Leaving says that no callers should be sent there.
@@ -191,8 +193,8 @@
 	return h.view.meshed()
 }
 
-// Reads says whether this instance reads the platform's store for others: the
-// relay that speaks for its group, or where all tell all, two of them.
+// Reads says whether this instance reads the platform's store for others: one of
+// two, which speak for their groups where there are relays.
 func (h *Hub) Reads() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -544,10 +544,25 @@
 	return spent
 }
 
+// readsAmong says whether the group of this instance, which speaks for it, is
+// among the first that are spoken for.
+func (s state) readsAmong() bool {
+	before := 0
+	for g := range s.groups {
+		if g < s.group {
+			before++
+		}
+	}
+
+	return before < _readers
+}
+
 // reads says whether this instance reads the store for others.
 func (v *view) reads(now time.Duration) bool {
 	if !v.meshed() {
-		return v.state(now).speaks
+		s := v.state(now)
+
+		return s.speaks && s.readsAmong()
 	}
 	list := []candidate{{
 		name:     v.name,
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -222,6 +222,7 @@
 			Name:          name,
 			CallerAddress: p.caller,
 			FailureDomain: p.domain,
+			Capacity:      p.capacity,
 			Alive:         p.isAlive(now),
 			Leaving:       p.leaving,
 			Silent:        p.silent(now),
--- a/hop/server.go
+++ b/hop/server.go
@@ -400,7 +400,7 @@
 	case <-r.left:
 		return true
 	default:
-		return false
+		return isClosed(r.conn.nc)
 	}
 }
 
--- a/hop/silence.go
+++ b/hop/silence.go
@@ -64,3 +64,25 @@
 
 	return err == nil && quiet
 }
+
+// isClosed says that the peer has closed the connection, and that all it sent
+// before was read. It may be asked while another goroutine reads: that one may
+// not have had the processor since.
+func isClosed(nc net.Conn) bool {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+	})
+
+	return closed || err != nil
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -64,6 +64,9 @@
 	// Holder and Fence identify the steward.
 	Holder string
 	Fence  int
+	// May says whether the order may still leave; it is asked again when there
+	// is a connection, just before the first byte.
+	May func() bool
 }
 
 // Result is the outcome of an order.
@@ -708,6 +711,11 @@
 			Expect: expect,
 			Holder: s.cfg.Holder,
 			Fence:  fence,
+			May: func() bool {
+				now, may := s.cfg.Leases[s.shard(&entry)].MayOrder()
+
+				return may && now == fence
+			},
 		})
 	}
 	// A load that was held already is not counted as an order there.
