Order the next adapter without waiting until the one before serves

Each load waited 12 ms for the adapter before the next order to that server left.

Ruled out: places (AllInUse 50 of 1439 lines); needs that don't arrive (the stewards log them within half a second).

Change: an adapter that was accepted holds its place at once, is told as held when it serves, and up to four are on their way to a server, as the pages allow.

--- a/steward/ledger.go
+++ b/steward/ledger.go
@@ -19,6 +19,8 @@
 	known bool
 	// adapters are the adapters held, by model; a model without any is in it.
 	adapters map[string]map[string]bool
+	// coming are the adapters that are held but can't serve yet.
+	coming map[site.Target]bool
 	// loadedAt is when each model was loaded by this steward.
 	loadedAt map[string]time.Time
 	// used is when each adapter was last asked for.
@@ -43,6 +45,7 @@
 	return &ledger{
 		entry:    entry,
 		adapters: map[string]map[string]bool{},
+		coming:   map[site.Target]bool{},
 		loadedAt: map[string]time.Time{},
 		used:     map[site.Target]time.Time{},
 		atHand:   map[string]bool{},
@@ -115,7 +118,7 @@
 	return largest * float64(e.AdapterPlaces)
 }
 
-// targets are all that it serves, sorted.
+// targets are all that it serves now, sorted.
 func (l *ledger) targets() []string {
 	out := []string{}
 	for model, adapters := range l.adapters {
@@ -124,10 +127,13 @@
 		}
 		out = append(out, model)
 		for a := range adapters {
-			out = append(out, site.Target{
+			t := site.Target{
 				Model:   model,
 				Adapter: a,
-			}.String())
+			}
+			if !l.coming[t] {
+				out = append(out, t.String())
+			}
 		}
 	}
 	slices.Sort(out)
@@ -153,6 +159,7 @@
 		}
 	}
 	l.adapters = held
+	clear(l.coming)
 	l.atHand = map[string]bool{}
 	for _, m := range slices.Concat(r.InMemory, r.OnDisk) {
 		l.atHand[m] = true
@@ -174,7 +181,7 @@
 				Model:   model,
 				Adapter: a,
 			}
-			if now.Sub(l.used[t]) < idle {
+			if l.coming[t] || now.Sub(l.used[t]) < idle {
 				continue
 			}
 			if !found || l.used[t].Before(l.used[oldest]) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -30,8 +30,11 @@
 	// alone.
 	_refusedPause = 400 * time.Millisecond
 	// _adapterLoad is how long an adapter is on its way after its order was
-	// accepted.
+	// accepted; a few may come at once.
 	_adapterLoad = 12 * time.Millisecond
+	// _mostComing is how many adapters may be on their way to one backend server,
+	// by the users' pages.
+	_mostComing = 4
 	// _needMemory is how long a target that was waited for is still loaded.
 	_needMemory = time.Second
 	// _needPatience is how long the steward of the shard that comes first has
@@ -503,7 +506,6 @@
 			for _, st := range list {
 				s.loadAdapter(l, st)
 			}
-			s.cfg.Changed()
 		})
 	}
 }
@@ -516,22 +518,46 @@
 			// It may still be there, and counts until a report shows otherwise.
 			s.setAdapter(l, st.evict, true)
 			s.doubt(l)
+			s.cfg.Changed()
 
 			return
 		}
 	}
+	for s.comingAt(l) >= _mostComing {
+		time.Sleep(_adapterLoad / _mostComing)
+	}
 	switch s.give(l, true, st.target, "Needed") {
 	case ResultAccepted:
-		time.Sleep(_adapterLoad)
+		// The next order needn't wait until this adapter serves.
+		s.mu.Lock()
+		l.coming[st.target] = true
+		s.mu.Unlock()
 		s.setAdapter(l, st.target, true)
+		s.wg.Go(func() {
+			time.Sleep(_adapterLoad)
+			s.mu.Lock()
+			delete(l.coming, st.target)
+			s.mu.Unlock()
+			s.cfg.Changed()
+		})
 	case ResultHolds:
 		s.setAdapter(l, st.target, true)
+		s.cfg.Changed()
 	case ResultConflict, ResultRefused, ResultUnknown:
 		s.doubt(l)
+		s.cfg.Changed()
 	case ResultNotSent:
 	}
 }
 
+// comingAt is how many adapters are on their way to a backend server.
+func (s *Steward) comingAt(l *ledger) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(l.coming)
+}
+
 func (s *Steward) setAdapter(l *ledger, t site.Target, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
