Take back requests and orders that were given up

A connection that was given up was closed, which leaves what is on its way.

Change: a connection with a request that has no whole answer is reset when it is closed; orders go the same way. 'Evidence regained' is logged only if it is young enough to be of use (the log had it ten times a second for evidence of 5 s).

Test: TestTakenBack, a reset for what was given up and a usual close after a whole answer; failed before. That a cut's bytes are lost then is the users' page's word; loopback can't show it.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -57,15 +57,18 @@
 	v.lost = true
 }
 
-// note takes newer evidence and says whether it was missing before.
-func (v *evidence) note(at time.Duration) bool {
+// note takes newer evidence and says whether it was missing before, and is
+// young enough now.
+func (v *evidence) note(at, most time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.at = max(v.at, at)
-	regained := v.lost
+	if !v.lost || timer.Elapsed()-v.at > most {
+		return false
+	}
 	v.lost = false
 
-	return regained
+	return true
 }
 
 // age is how old the evidence is.
@@ -169,7 +172,7 @@
 }
 
 func (e *Entry) noteEvidence(at time.Duration) {
-	if e.evidence.note(at) {
+	if e.evidence.note(at, e.keysFor()) {
 		e.cfg.Log.Write(event.EvidenceRegained, zap.Duration("Age", timer.Elapsed()-at))
 	}
 }
@@ -200,7 +203,7 @@
 // configuration was current so lately that no withdrawn key is still in it.
 func (e *Entry) keysAllowed() bool {
 	age := e.evidence.age()
-	if age <= e.cfg.Settings.Bounds.Revoke-_keyMargin {
+	if age <= e.keysFor() {
 		return true
 	}
 	if e.evidence.lose() {
@@ -210,6 +213,11 @@
 	return false
 }
 
+// keysFor is how old evidence may be for requests with keys.
+func (e *Entry) keysFor() time.Duration {
+	return e.cfg.Settings.Bounds.Revoke - _keyMargin
+}
+
 // isCurrent says whether the configuration is surely no older than callers may
 // expect, so that what is not in it doesn't exist.
 func (e *Entry) isCurrent() bool {
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -218,13 +219,21 @@
 	// rested is how long it was idle before its present request.
 	rested time.Duration
 	once   sync.Once
-	sent      bool
+	// pending says that a request has left and its answer isn't whole.
+	pending atomic.Bool
+	sent    bool
 }
 
 // Close closes the connection. It may be called while another goroutine
-// waits in it.
+// waits in it. A request that has no whole answer yet is taken back as far as
+// can be: a reset lets what is still on its way, behind a cut, be lost, so that
+// it doesn't run when nobody waits for it any more.
 func (c *Conn) Close() {
 	c.once.Do(func() {
+		if tcp, ok := c.nc.(*net.TCPConn); ok && c.pending.Load() {
+			// Without it, the bytes may arrive late, as they did before.
+			_ = tcp.SetLinger(0)
+		}
 		_ = c.nc.Close()
 		c.pool.mu.Lock()
 		c.pool.open--
@@ -255,6 +264,7 @@
 	}
 	out = append(out, "\r\n"...)
 	out = append(out, body...)
+	c.pending.Store(true)
 	_, err := c.nc.Write(out)
 	c.sent = err == nil
 	c.noteForgotten(err)
@@ -348,6 +358,7 @@
 			keep = time.Duration(seconds)*time.Second - _idleMargin
 		}
 	}
+	c.pending.Store(false)
 	c.idleSince = time.Now()
 	c.idleUntil = c.idleSince.Add(keep)
 	c.head = nil
--- a/hop/backend_test.go
+++ b/hop/backend_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,3 +118,53 @@
 
 	return true
 }
+
+// TestTakenBack gives up a request that has no answer: the connection is reset,
+// so that bytes that are held up behind a cut are lost. One whose answer was
+// whole is closed as usual.
+func TestTakenBack(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		p := hop.NewPool(listener.Addr().String(), func() {}, &hop.Rest{})
+		defer p.Close()
+		c, err := p.Get(time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		head := &hop.Head{
+			Method: "POST",
+			Target: "/once",
+		}
+		if err := c.Send(head, nil, []byte("body"), true); err != nil {
+			t.Fatal(err)
+		}
+		nc, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = nc.Close() }()
+		if answered {
+			if _, err := nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.ReadHead("POST"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.ReadAll(10); err != nil {
+				t.Fatal(err)
+			}
+			c.Release(true)
+			p.Close()
+		} else {
+			c.Close()
+		}
+		_, err = io.Copy(io.Discard, nc)
+		if reset := errors.Is(err, syscall.ECONNRESET); reset == answered {
+			t.Errorf("answered %t: the server saw %v", answered, err)
+		}
+	}
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -364,3 +364,27 @@
 	}
 	f.t.Errorf("not within %s: %s", _recovery, what)
 }
+
+// hears is how many others an instance says are alive.
+func (p *process) hears() int {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.ip + ":7790/status")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status struct {
+		Instances []struct{ Alive bool }
+	}
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return 0
+	}
+	n := 0
+	for _, i := range status.Instances {
+		if i.Alive {
+			n++
+		}
+	}
+
+	return n
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -138,7 +138,11 @@
 func play(t *testing.T, seed uint64) []string {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 11))
-	f := newFleet(t, _instances)
+	n := _instances
+	if text := os.Getenv("PAPAYASTAIR_SOAK_INSTANCES"); text != "" {
+		n, _ = strconv.Atoi(text)
+	}
+	f := newFleet(t, n)
 	for _, p := range f.procs {
 		f.eventually(p.name+" ready", p.isReady)
 	}
@@ -189,6 +193,7 @@
 	f.heal()
 	for _, p := range f.procs {
 		f.eventually(p.name+" serves after the faults", func() bool { return p.serves(f, rng) })
+		f.eventually(p.name+" hears all others", func() bool { return p.hears() == len(f.procs)-1 })
 	}
 	stop()
 	callers.Wait()
