Let all relays pass on what the store has said

The group without a reader heard nothing of entries' changes from its relay, which told only what it had read itself, and its members asked the store.

Change: relays tell what the readers told them; members still don't.

Test: TestChangesReachAll; with relays that tell only if they read, 23 instances of 68 were told nothing by construction (a third).

--- a/entry/tell.go
+++ b/entry/tell.go
@@ -139,9 +139,9 @@
 	demand []wire.TargetDemand
 }
 
-// compose makes the bulletin of this instance, which may read the store for
-// others.
-func (e *Entry) compose(reads bool) wire.Bulletin {
+// compose makes the bulletin of this instance. If passes, others learn from it
+// what the store has said.
+func (e *Entry) compose(passes bool) wire.Bulletin {
 	s := e.cfg.Settings
 	now := time.Now()
 	b := wire.Bulletin{
@@ -174,7 +174,7 @@
 	}
 	e.board.Check(now)
 	e.sumDemand(b.Demand, now)
-	if reads {
+	if passes {
 		b.Changes = e.changes.tell(now)
 	}
 	b.Shards, b.Held = e.steward.Held()
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -60,8 +60,8 @@
 	// Capacity is how much this instance can do, in thousandths of a processor.
 	Capacity int
 	// Compose makes the bulletin to send; the hub fills in Heard and SentMS.
-	// reads says that it reads the store for others.
-	Compose func(reads bool) wire.Bulletin
+	// passes says that it is to tell what the store has said.
+	Compose func(passes bool) wire.Bulletin
 	// Heard takes a bulletin as it came: what is needed and held, and how fresh
 	// the sender's configuration is. notBefore is the time, by timer.Elapsed,
 	// that the bulletin was sent at or after; 0 if unknown.
@@ -238,7 +238,10 @@
 	// Read first: a pause while the bulletin is made must not let what it says
 	// look newer than it is.
 	now := timer.Elapsed()
-	own := h.cfg.Compose(h.Reads())
+	h.mu.Lock()
+	passes := h.view.passes(now)
+	h.mu.Unlock()
+	own := h.cfg.Compose(passes)
 	own.SentMS = int(now.Milliseconds())
 	h.mu.Lock()
 	why := h.why
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -557,6 +557,16 @@
 	return before < _readers
 }
 
+// passes says whether this instance tells others what the store has said: the
+// readers, and all relays.
+func (v *view) passes(now time.Duration) bool {
+	if v.meshed() {
+		return v.reads(now)
+	}
+
+	return slices.Contains(v.state(now).relays, v.name)
+}
+
 // reads says whether this instance reads the store for others.
 func (v *view) reads(now time.Duration) bool {
 	if !v.meshed() {
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -151,6 +151,9 @@
 
 func (w *world) send(m *member) {
 	own := w.compose(m)
+	if m.v.passes(w.now) {
+		own.Changes.UpTo = 1
+	}
 	m.v.expire(w.now)
 	m.v.keepSent(own)
 	why := m.pending
@@ -385,3 +388,34 @@
 		t.Errorf("%.1f datagrams a second at each of 68, want under a tenth of a mesh's %.1f", small.each, mesh)
 	}
 }
+
+// TestChangesReachAll finds what a reader tells of the store in every instance,
+// also of groups that have no reader: relays pass it on.
+func TestChangesReachAll(t *testing.T) {
+	w := newWorld(t, 4, 68)
+	w.run(settle)
+	readers, passing := 0, 0
+	for _, m := range w.members {
+		if m.v.reads(w.now) {
+			readers++
+		}
+		if m.v.passes(w.now) {
+			passing++
+		}
+	}
+	// Two readers, and two relays in each of three domains.
+	if readers != _readers || passing != 3*_relays {
+		t.Errorf("%d read and %d pass on, want %d and %d", readers, passing, _readers, 3*_relays)
+	}
+	for _, m := range w.members {
+		told := false
+		for _, p := range m.v.peers {
+			for _, word := range []word{p.all, p.group} {
+				told = told || word.fresh(w.now) && word.b.Changes.UpTo > 0
+			}
+		}
+		if !told && !m.v.reads(w.now) {
+			t.Errorf("%s was told nothing of the store", m.cfg.Name)
+		}
+	}
+}
