--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -108,7 +108,6 @@
 	start    int
 	heard    time.Time
 	told     map[string]Told
-	parts    map[string]float64
 }
 
 func newPeer() *peer {
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	testOver  = 0.1
-	testSlack = 7500.0
+	testOver = 0.1
+	// testInstances is how many instances there are.
+	testInstances = 8
+	testSlack     = 7500.0
 	// testLost is the part of the bulletins that is lost.
 	testLost = 0.02
 )
@@ -41,7 +43,7 @@
 	burst   float64
 }
 
-func newWorld(seed uint64, instances int, burst float64) *world {
+func newWorld(seed uint64, burst float64) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)),
 		now: time.Unix(1000, 0),
@@ -50,7 +52,7 @@
 		largest: 2000,
 		burst:   burst,
 	}
-	for range instances {
+	for range testInstances {
 		w.books = append(w.books, nil)
 		w.start = append(w.start, 0)
 	}
@@ -220,7 +222,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			most, bound := 0.0, 0.0
 			for seed := range uint64(40) {
-				w := newWorld(seed, 8, max(tt.burst, testRate))
+				w := newWorld(seed, max(tt.burst, testRate))
 				w.largest = max(w.largest, tt.largest)
 				for tick := range 1500 {
 					if tt.play != nil {
@@ -254,7 +256,7 @@
 func TestNoWrongRefusals(t *testing.T) {
 	asked, refused := 0, 0
 	for seed := range uint64(10) {
-		w := newWorld(seed, 8, testRate)
+		w := newWorld(seed, testRate)
 		for range 200 {
 			w.tick(0, w.anywhere)
 		}
@@ -272,7 +274,7 @@
 // TestLoweredLimit lowers the limit under what is asked: within a window the
 // new one holds.
 func TestLoweredLimit(t *testing.T) {
-	w := newWorld(1, 8, testRate)
+	w := newWorld(1, testRate)
 	for range 500 {
 		w.tick(testRate, w.anywhere)
 	}
@@ -295,7 +297,7 @@
 // TestSteadyExcess asks for more than the rate without end, and finds served
 // what each window allows: the burst too, not just the rate.
 func TestSteadyExcess(t *testing.T) {
-	w := newWorld(3, 8, testRate)
+	w := newWorld(3, testRate)
 	for range 500 {
 		w.tick(testRate/2, w.anywhere)
 	}
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -108,7 +108,7 @@
 		known   map[string]string
 	}
 	var watches [9]int
-	var instances []*instance
+	instances := make([]*instance, 0, len(watches))
 	for i := range 9 {
 		in := &instance{
 			changes: newServerChanges(),
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -94,7 +94,7 @@
 	m.v = newView(m.cfg)
 	m.down = false
 	m.spent = 0
-	var records []wire.EntryRecord
+	records := make([]wire.EntryRecord, 0, len(w.members))
 	for _, o := range w.members {
 		records = append(records, wire.EntryRecord{
 			Name:          o.cfg.Name,
--- a/hop/backend_test.go
+++ b/hop/backend_test.go
@@ -68,10 +68,11 @@
 		forgotten = 100 * time.Millisecond
 		rest      = 150 * time.Millisecond
 		rounds    = 6
+		servers   = 3
 	)
 	shared := &hop.Rest{}
-	var pools []*hop.Pool
-	for range 3 {
+	pools := make([]*hop.Pool, 0, servers)
+	for range servers {
 		p := hop.NewPool(forgetful(t, forgotten), func() {}, shared)
 		defer p.Close()
 		pools = append(pools, p)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -88,7 +89,7 @@
 // checkRun finds requests that were changed on their way.
 func checkRun(c call, run standin.WorkerRun) []string {
 	workspace := map[string]string{"k1": "desk", "k2": "desk", "k3": "small"}[c.key]
-	if run.Head.RequestURI != c.path || run.Body != c.body || run.Head.Method != "POST" ||
+	if run.Head.RequestURI != c.path || run.Body != c.body || run.Head.Method != http.MethodPost ||
 		run.Head.Header.Get("X-Tenant") != workspace || run.Head.Header.Get("X-Key") != "" {
 		return []string{fmt.Sprintf("%s: sent %s with %d bytes by %s, ran %s %s with %d bytes for %q", c.id, c.path, len(c.body), workspace,
 			run.Head.Method, run.Head.RequestURI, len(run.Body), run.Head.Header.Get("X-Tenant"))}
@@ -112,7 +113,7 @@
 	// What is both sent and begun in a window counts: by the times of sending,
 	// windows that begin with each request.
 	type entry struct{ sent, began time.Time }
-	var list []entry
+	list := make([]entry, 0, len(first))
 	for id, began := range first {
 		list = append(list, entry{
 			sent:  calls[id].sent,
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -145,10 +145,10 @@
 	if p.cmd == nil {
 		return
 	}
-	switch s {
-	case syscall.SIGKILL, syscall.SIGTERM:
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.ending = true
-	case syscall.SIGCONT:
+	}
+	if s == syscall.SIGCONT {
 		p.woken = append(p.woken, time.Now())
 	}
 	_ = p.cmd.Process.Signal(s)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -179,7 +180,7 @@
 			break
 		}
 		if err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				if tcp, ok := to.(*net.TCPConn); ok {
 					_ = tcp.CloseWrite()
 				}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -197,7 +197,7 @@
 	series.Wait()
 	f.heal()
 	for _, p := range f.procs {
-		f.eventually(p.name+" serves after the faults", func() bool { return p.serves(f, rng) })
+		f.eventually(p.name+" serves after the faults", func() bool { return p.serves(rng) })
 		f.eventually(p.name+" hears all others", func() bool { return p.hears() == len(f.procs)-1 })
 	}
 	stop()
@@ -235,7 +235,7 @@
 }
 
 // serves says whether an instance answers a request of each kind.
-func (p *process) serves(f *fleet, rng *rand.Rand) bool {
+func (p *process) serves(rng *rand.Rand) bool {
 	for _, path := range []string{"/once/whole", "/again/whole"} {
 		req, err := http.NewRequest(http.MethodPost, "http://"+p.front()+path, http.NoBody)
 		if err != nil {
@@ -361,9 +361,10 @@
 			Arrived: at.Add(after),
 		}
 	}
-	var many []call
-	var manyRuns []standin.WorkerRun
-	for i := range 300 {
+	const requests = 300
+	many := make([]call, 0, requests)
+	manyRuns := make([]standin.WorkerRun, 0, requests)
+	for i := range requests {
 		c, r := good, run
 		c.id, c.key = fmt.Sprint(i), "k3"
 		r.ID = c.id
