Mend what a second reading of the change showed

Cause: the diff, read again. For each request that had its answer a system call asked whether its caller had left (HasLeft was asked before the verdict). The same loop stood twice in the choice of a group's word, and the sum of what was spent with the own bulletin's three times; the state of the relays was worked out again for what had just been asked. The soak dropped an error of its environment.

Change: firstWord, meter.with, everyone(state); the order of two conditions.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -62,7 +62,7 @@
 	if a.conn != nil {
 		j.r.OnLeave(nil)
 	}
-	if j.r.HasLeft() && v != verdictDone {
+	if v != verdictDone && j.r.HasLeft() {
 		result = dispatch.ResultLeft
 		v = verdictDone
 		j.leave()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,8 +27,8 @@
 	// _recordWait that of the instances' records.
 	_entryWait  = 5 * time.Second
 	_recordWait = 30 * time.Second
-	// _entryGather is the pause after changes of backend servers' entries,
-	// which come often while adapters move; a quarter of the time within which
+	// _entryGather is the pause before each watch of backend servers' entries,
+	// which change often while adapters move; a quarter of the time within which
 	// a leaving backend server must get no more requests.
 	_entryGather = 500 * time.Millisecond
 	// _recordGather is the pause after changes of records: all come at once when
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -256,9 +256,10 @@
 		out = h.view.mesh(&own, now)
 	}
 	var everyone Sums
-	speaks := relayed && why.period && h.view.state(now).speaks
+	state := h.view.state(now)
+	speaks := relayed && why.period && state.speaks
 	if speaks {
-		everyone = h.view.everyone(now)
+		everyone = h.view.everyone(state, now)
 	}
 	h.mu.Unlock()
 	if speaks {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -133,26 +133,27 @@
 		if g == s.group {
 			continue
 		}
-		for _, name := range names {
-			if w := v.peers[name].group; w.b != nil && now-w.at <= _relaySilence {
+		for _, within := range []time.Duration{_relaySilence, _aliveFor} {
+			if name := v.firstWord(names, now-within); name != "" {
 				s.groups[g] = name
 
 				break
 			}
 		}
-		if _, ok := s.groups[g]; ok {
-			continue
-		}
-		for _, name := range names {
-			if v.peers[name].group.fresh(now) {
-				s.groups[g] = name
+	}
 
-				break
-			}
+	return s
+}
+
+// firstWord is the first instance whose word on its group came after since.
+func (v *view) firstWord(names []string, since time.Duration) string {
+	for _, name := range names {
+		if w := v.peers[name].group; w.b != nil && w.at >= since {
+			return name
 		}
 	}
 
-	return s
+	return ""
 }
 
 // noteSpent adds to what others have spent what a bulletin says, if its sender
@@ -235,8 +236,8 @@
 }
 
 // everyone is what all others say together.
-func (v *view) everyone(now time.Duration) Sums {
-	o := v.sumOthers(v.state(now), now)
+func (v *view) everyone(s state, now time.Duration) Sums {
+	o := v.sumOthers(s, now)
 	b := &wire.Bulletin{}
 	o.fill(b, true)
 	b.Asked = o.rates(v.others.total)
@@ -286,7 +287,7 @@
 		why.held = len(b.Needs) > 0
 	case _scopeAll:
 		if b.Name == s.speaker {
-			sum := v.everyone(now)
+			sum := v.everyone(s, now)
 
 			return &sum, why
 		}
@@ -381,7 +382,7 @@
 	o := outgoing{b: v.head(own, _scopeNote)}
 	to := map[string]bool{}
 	if slices.Contains(s.relays, v.name) {
-		o.b.Asked = newSums().rates(v.groupSpent(own))
+		o.b.Asked = newSums().rates(v.group.with(own))
 		for g, names := range s.order {
 			if g == s.group {
 				continue
@@ -448,12 +449,8 @@
 	sum := v.sumOthers(s, now)
 	sum.add(own, 1)
 	sum.addWord(own, 0)
-	spent := maps.Clone(v.others.total)
-	for _, a := range own.Asked {
-		spent[a.Workspace] += a.Spent
-	}
 	sum.fill(all, false)
-	all.Asked = sum.rates(spent)
+	all.Asked = sum.rates(v.others.with(own))
 	if !v.heldNews(all.Held, whole, now) {
 		all.Held = nil
 	}
@@ -529,21 +526,11 @@
 	}
 	sum := v.sumGroup(own, now)
 	sum.fill(b, true)
-	b.Asked = sum.rates(v.groupSpent(own))
+	b.Asked = sum.rates(v.group.with(own))
 
 	return []outgoing{o}
 }
 
-// groupSpent is what this instance's group has spent, by its own count.
-func (v *view) groupSpent(own *wire.Bulletin) map[string]float64 {
-	spent := maps.Clone(v.group.total)
-	for _, a := range own.Asked {
-		spent[a.Workspace] += a.Spent
-	}
-
-	return spent
-}
-
 // readsAmong says whether the group of this instance, which speaks for it, is
 // among the first that are spoken for.
 func (s state) readsAmong() bool {
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -174,8 +174,8 @@
 			})
 		}
 	}
-	if m.v.state(w.now).speaks {
-		m.sums = m.v.everyone(w.now)
+	if s := m.v.state(w.now); s.speaks {
+		m.sums = m.v.everyone(s, w.now)
 	}
 }
 
--- a/exchange/sums.go
+++ b/exchange/sums.go
@@ -230,6 +230,16 @@
 	}
 }
 
+// with is the total and what a bulletin says besides.
+func (m *meter) with(b *wire.Bulletin) map[string]float64 {
+	spent := maps.Clone(m.total)
+	for _, a := range b.Asked {
+		spent[a.Workspace] += a.Spent
+	}
+
+	return spent
+}
+
 // spentOf are a bulletin's counters, less what is another's.
 func spentOf(b, less *wire.Bulletin) map[string]float64 {
 	out := make(map[string]float64, len(b.Asked))
--- a/hop/server.go
+++ b/hop/server.go
@@ -394,7 +394,8 @@
 	}
 }
 
-// HasLeft says whether the caller has closed its connection.
+// HasLeft says whether the caller has closed its connection. It asks the
+// connection itself, by a system call.
 func (r *Request) HasLeft() bool {
 	select {
 	case <-r.left:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -145,7 +145,10 @@
 	rng := rand.New(rand.NewPCG(seed, 11))
 	n := _instances
 	if text := os.Getenv("PAPAYASTAIR_SOAK_INSTANCES"); text != "" {
-		n, _ = strconv.Atoi(text)
+		var err error
+		if n, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
 	}
 	f := newFleet(t, n)
 	for _, p := range f.procs {
