Log why a caller counts as gone, and which connections the process ended itself

Change: the error that ended a caller's connection is kept with the request (Request.LeftCause). EntryLeft has it, whether the answer had begun and whether the process was leaving. EntryCut, with a counter, is for connections that the process ended. All request lines have Ordinal, the number of the request on its connection. EntryStopped has the time since the signal.

No logic is changed. Test: hop TestLeftCause.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -285,7 +285,7 @@
 
 // Close ends the process's work and waits.
 func (e *Entry) Close() {
-	e.cfg.Log.Write(event.EntryStopped, zap.Int("Busy", e.busy()))
+	e.cfg.Log.Write(event.EntryStopped, zap.Int("Busy", e.busy()), zap.Duration("After", timer.Elapsed()-time.Duration(e.leftAt.Load())))
 	e.stop()
 	e.steward.Close()
 	e.closeServers()
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"errors"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"time"
 
@@ -117,6 +119,7 @@
 		zap.String("RequestID", j.call.ID),
 		zap.Duration("After", time.Since(j.r.Arrived)),
 		zap.Int("Sent", j.sent),
+		zap.Int("Ordinal", j.r.Ordinal),
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("Route", j.route.Name), zap.Int("Version", j.cfg.Version))
@@ -413,12 +416,21 @@
 
 // leave ends a request whose caller has gone.
 func (j *job) leave() {
+	begun := j.r.Begun()
+	cause := j.r.LeftCause()
 	j.r.Cut()
-	j.count("Left")
 	if j.sent == 0 && j.who != nil {
 		j.e.book.Return(j.who.Name, j.cost)
 	}
-	j.e.cfg.Log.Write(event.EntryLeft, j.logFields()...)
+	log := append(j.logFields(), zap.Bool("Begun", begun), zap.Bool("Leaving", j.e.leaving.Load()), zap.NamedError("Cause", cause))
+	if errors.Is(cause, net.ErrClosed) {
+		j.count("Cut")
+		j.e.cfg.Log.Write(event.EntryCut, log...)
+
+		return
+	}
+	j.count("Left")
+	j.e.cfg.Log.Write(event.EntryLeft, log...)
 }
 
 // outgoing is what the backend server is told.
--- a/hop/server.go
+++ b/hop/server.go
@@ -159,6 +159,8 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
+	// requests is how many have been read on it.
+	requests int
 }
 
 func (c *callerConn) serve() {
@@ -237,7 +239,7 @@
 
 			return r.closing || c.br.Buffered() > 0
 		default:
-			r.leave()
+			r.leave(err)
 			<-r.done
 
 			return false
@@ -284,12 +286,14 @@
 	if err != nil {
 		return nil, err
 	}
+	c.requests++
 
 	return &Request{
 		Head:    head,
 		Body:    content,
 		Framed:  f.chunked || f.length >= 0,
 		Arrived: arrived,
+		Ordinal: c.requests,
 		conn:    c,
 		left:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -344,12 +348,15 @@
 	Framed bool
 	// Arrived is when the head had been read.
 	Arrived time.Time
+	// Ordinal is its number among the requests of its connection, from 1.
+	Ordinal int
 
 	conn     *callerConn
 	left     chan struct{}
 	done     chan struct{}
 	mu       sync.Mutex
 	gone     bool
+	cause    error
 	finished bool
 	// wake says that the reader waits for more bytes behind an early one and
 	// must be woken when the answer is out.
@@ -381,9 +388,22 @@
 	}
 }
 
-func (r *Request) leave() {
+// LeftCause is the error that ended the caller's connection while the request
+// ran: io.EOF or a reset of the caller's, net.ErrClosed if Close ended it,
+// a timeout of the kernel if the caller was silent. It is nil if none has.
+func (r *Request) LeftCause() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+
+	return r.cause
+}
+
+func (r *Request) leave(cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cause == nil {
+		r.cause = cause
+	}
 	if r.gone {
 		return
 	}
@@ -503,6 +523,11 @@
 	_, err := r.conn.nc.Write(r.out)
 	r.out = r.out[:0]
 	if err != nil {
+		r.mu.Lock()
+		if r.cause == nil {
+			r.cause = err
+		}
+		r.mu.Unlock()
 		r.Cut()
 	}
 
--- a/hop/server_test.go
+++ b/hop/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -293,6 +294,58 @@
 	<-seen
 }
 
+// TestLeftCause finds that a caller's close and the server's own are told apart.
+func TestLeftCause(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(caller net.Conn, s *hop.Server)
+		want error
+	}{
+		{
+			name: "caller closes",
+			end:  func(caller net.Conn, _ *hop.Server) { _ = caller.Close() },
+			want: io.EOF,
+		},
+		{
+			name: "server closes",
+			end:  func(_ net.Conn, s *hop.Server) { s.Close() },
+			want: net.ErrClosed,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			entered, cause := make(chan struct{}), make(chan error, 1)
+			s := hop.Serve(hop.ServerConfig{
+				Listener: listener,
+				Limits:   func() site.Limits { return testLimits },
+				Handle: func(r *hop.Request) {
+					close(entered)
+					<-r.Left()
+					cause <- r.LeftCause()
+				},
+			})
+			defer s.Close()
+			c, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			<-entered
+			tt.end(c, s)
+			if got := <-cause; !errors.Is(got, tt.want) {
+				t.Errorf("cause %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestUnansweredIsCut finds that a handler without an answer, and one that
 // ends in the middle of a stream, leave the caller with a visible cut.
 func TestUnansweredIsCut(t *testing.T) {
