Refuse what waits for a place when the instance ends, as not run

Callers saw: a request that was read whole, at an instance told to stop, ended with a closed connection and no answer (LOST: it was never passed on to a backend server, so that nothing excuses it).

Cause: a request whose model nobody holds waits for twice its goal: 8 s for a goal of 4 s. The process ends 7.6 s after the signal and closes its connections. Only the admission of a request asked whether it can be over before that; what waited for a copy, or was refused by a backend server and tried the next, wasn't asked again.

Evidence: platform TestWaitingWhileLeaving, before: no answer (Status 0, not whole), the request sent nowhere; after: 503 with Retry-After.

Change: one question, Entry.takes, at admission, while a request waits for a copy and before each further backend server. At the end itself whatever still waits is refused, and the servers are told to take no more (Server.Refuse) even though requests run.

Why it works: a request that has not been sent is now always in a state in which the end of the process wakes it, and the refusal is true.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,8 @@
 	_maxShards = 4
 	// _lastAnswers is for how long those who come too late are still answered.
 	_lastAnswers = 100 * time.Millisecond
+	// _lastWait is between two looks whether the last answers are out.
+	_lastWait = 5 * time.Millisecond
 	// _stewardStagger is between instances that look for a free lease.
 	_stewardStagger = 300 * time.Millisecond
 	_stewardMost    = 1500 * time.Millisecond
@@ -106,11 +108,16 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   conc.WaitGroup
+	// ending is done when requests that still run must be answered, since the
+	// process ends.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New starts serving. Requests are refused until a configuration is known.
 func New(cfg Config) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	ending, end := context.WithCancel(context.Background())
 	e := &Entry{
 		cfg:   cfg,
 		start: int(time.Now().UnixMilli()),
@@ -136,6 +143,8 @@
 		asked:   map[string]peerDemand{},
 		ctx:     ctx,
 		stop:    cancel,
+		ending:  ending,
+		end:     end,
 	}
 	e.evidence.init()
 	e.records.init()
@@ -231,6 +240,7 @@
 
 // Leave tells callers to go elsewhere, serves what still comes, and returns
 // when nothing runs and no caller is left, or when the time to stop is over.
+// What was sent nowhere by then is refused as not run.
 func (e *Entry) Leave() {
 	began := timer.Elapsed()
 	e.leftAt.Store(int64(began))
@@ -243,14 +253,18 @@
 	}
 	least := _ttlsKept*e.ttl() + 500*time.Millisecond
 	most := e.cfg.Settings.Bounds.Grace - _leaveMargin
-	for {
-		time.Sleep(50 * time.Millisecond)
-		passed := timer.Elapsed() - began
-		if passed >= most || passed >= least && e.finish() {
-			time.Sleep(_lastAnswers)
-
-			return
+	for passed := time.Duration(0); passed < most; passed = timer.Elapsed() - began {
+		if passed >= least && e.finish() {
+			break
 		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	e.end()
+	for _, s := range e.servers {
+		s.Refuse()
+	}
+	for until := timer.Elapsed() + _lastAnswers; timer.Elapsed() < until || e.busy() > 0 && timer.Elapsed() < began+most+_leaveMargin/2; {
+		time.Sleep(_lastWait)
 	}
 }
 
@@ -273,6 +287,16 @@
 	return e.cfg.Settings.Bounds.Grace - _leaveMargin - passed, !e.leaving.Load() || passed < _leaveServes
 }
 
+// takes says whether a request may still be passed on that may last until then.
+func (e *Entry) takes(until time.Time) bool {
+	if e.ending.Err() != nil {
+		return false
+	}
+	left, all := e.endsIn()
+
+	return all || time.Until(until) <= left
+}
+
 // busy is how many requests wait for their answers.
 func (e *Entry) busy() int {
 	n := 0
@@ -287,6 +311,7 @@
 func (e *Entry) Close() {
 	e.cfg.Log.Write(event.EntryStopped, zap.Int("Busy", e.busy()), zap.Duration("After", timer.Elapsed()-time.Duration(e.leftAt.Load())))
 	e.stop()
+	e.end()
 	e.steward.Close()
 	e.closeServers()
 	if e.hub != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -180,9 +180,8 @@
 		}
 	}
 	j.setLimit()
-	if left, all := e.endsIn(); !all && time.Until(j.limit) > left {
-		j.r.CloseAfter()
-		j.refuse(503, "Leaving", _leaveRetry)
+	if !e.takes(j.limit) {
+		j.refuseLeaving()
 
 		return false
 	}
@@ -204,6 +203,12 @@
 	return true
 }
 
+// refuseLeaving sends a caller to another instance, as this one ends.
+func (j *job) refuseLeaving() {
+	j.r.CloseAfter()
+	j.refuse(503, "Leaving", _leaveRetry)
+}
+
 // unknown refuses what the configuration doesn't have. One that may be old is
 // no proof.
 func (j *job) unknown(status int, reason string) bool {
@@ -298,6 +303,12 @@
 			return
 		}
 		choice, ok := j.choose()
+		if !ran && !e.takes(j.limit) {
+			j.giveBack()
+			j.refuseLeaving()
+
+			return
+		}
 		if !ok {
 			j.noPlace(choice, ran)
 
@@ -360,7 +371,7 @@
 			j.waited = true
 			e.demand.wait(j.demandKey())
 		}
-		if choice.Reason != dispatch.ReasonNoCopy || !now.Before(patience) {
+		if choice.Reason != dispatch.ReasonNoCopy || !now.Before(patience) || !e.takes(j.limit) {
 			return choice, false
 		}
 		e.need(j.service, j.call.Target)
@@ -368,6 +379,7 @@
 		select {
 		case <-changed:
 		case <-wait.C:
+		case <-e.ending.Done():
 		case <-j.r.Left():
 			wait.Stop()
 
@@ -408,10 +420,15 @@
 
 		return
 	}
+	j.giveBack()
+	j.refuse(503, reason, retryAfter())
+}
+
+// giveBack returns to the workspace's limit what a request took that hasn't run.
+func (j *job) giveBack() {
 	if j.who != nil {
 		j.e.book.Return(j.who.Name, j.cost)
 	}
-	j.refuse(503, reason, retryAfter())
 }
 
 // leave ends a request whose caller has gone.
@@ -419,8 +436,8 @@
 	begun := j.r.Begun()
 	cause := j.r.LeftCause()
 	j.r.Cut()
-	if j.sent == 0 && j.who != nil {
-		j.e.book.Return(j.who.Name, j.cost)
+	if j.sent == 0 {
+		j.giveBack()
 	}
 	log := append(j.logFields(), zap.Bool("Begun", begun), zap.Bool("Leaving", j.e.leaving.Load()), zap.NamedError("Cause", cause))
 	if errors.Is(cause, net.ErrClosed) {
--- a/hop/server.go
+++ b/hop/server.go
@@ -86,6 +86,13 @@
 	return s.finished
 }
 
+// Refuse ends the taking of requests, though some may wait for their answers.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finished = true
+}
+
 // begin counts a request, if any are still taken.
 func (s *Server) begin() bool {
 	s.mu.Lock()
