Answer what still runs when the instance ends, as unknown

Callers saw: a request at an instance told to stop, whose backend server had not answered by the end, got a closed connection.

Cause: the end of the process closed all connections; a request that had been sent had no other end.

What has not begun is answered 502; nothing is sent again then. A backend server's silence ends nothing sooner.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -100,6 +101,7 @@
 		return dispatch.ResultLeft, verdictNotSent, eris.New("no time left")
 	}
 	conn.SetDeadline(j.limit)
+	defer context.AfterFunc(j.e.ending, func() { conn.SetDeadline(time.Now()) })()
 	a.sentAt = time.Now()
 	j.sent++
 	j.server = a.choice.Server.ID
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -240,7 +240,8 @@
 
 // Leave tells callers to go elsewhere, serves what still comes, and returns
 // when nothing runs and no caller is left, or when the time to stop is over.
-// What was sent nowhere by then is refused as not run.
+// What runs then is answered: as not run if it was sent nowhere, else as
+// unknown; a stream that has begun is cut.
 func (e *Entry) Leave() {
 	began := timer.Elapsed()
 	e.leftAt.Store(int64(began))
--- a/entry/request.go
+++ b/entry/request.go
@@ -339,7 +339,7 @@
 
 // mayRepeat says whether a request that may have run may be sent again.
 func (j *job) mayRepeat() bool {
-	if j.sent >= max(j.route.Attempts, 1) || time.Until(j.limit) <= 0 {
+	if j.sent >= max(j.route.Attempts, 1) || time.Until(j.limit) <= 0 || j.e.ending.Err() != nil {
 		return false
 	}
 	if j.route.Kind == site.KindStream && j.r.Begun() && j.events.LastID == "" {
