Answer what was read when a server is closed

A request that was read whole between the end of taking requests and the closing of connections got a closed connection instead of its refusal.

Cause: Server.Close closed every connection, also one whose goroutine had read a request and not yet refused it, or was about to read one.

Change: Close ends the reading of connections without a running request by their deadline and lets their goroutines go on: what was read whole is refused as not run, what was read in part as well, and the rest is closed with nothing read. Running requests are cut as before.

Why it works: a read that begins after the deadline takes no bytes, and one that took some always reaches the refusal. A connection accepted while the server closes is under the same deadline; it held Close for its idle time before.

--- a/hop/server.go
+++ b/hop/server.go
@@ -30,6 +30,9 @@
 	_finishedRetry = "0.050"
 )
 
+// _past is a deadline that ends what waits.
+var _past = time.Unix(1, 0)
+
 // ServerConfig is what a Server works with.
 type ServerConfig struct {
 	// Listener brings the connections.
@@ -48,8 +51,10 @@
 type Server struct {
 	cfg     ServerConfig
 	closing atomic.Bool
-	mu      sync.Mutex
-	conns   map[*callerConn]struct{}
+	// closed says that nothing more is read.
+	closed atomic.Bool
+	mu     sync.Mutex
+	conns  map[*callerConn]struct{}
 	// busy counts requests that wait for their answers; finished says that no
 	// more are begun.
 	busy     int
@@ -93,22 +98,24 @@
 	s.finished = true
 }
 
-// begin counts a request, if any are still taken.
-func (s *Server) begin() bool {
+// begin counts a request of c, if any are still taken.
+func (s *Server) begin(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.finished {
 		return false
 	}
 	s.busy++
+	c.busy = true
 
 	return true
 }
 
-func (s *Server) end() {
+func (s *Server) end(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy--
+	c.busy = false
 }
 
 // Connections is how many connections are open.
@@ -125,12 +132,19 @@
 	s.closing.Store(true)
 }
 
-// Close ends all connections and waits for them.
+// Close ends all connections and waits for them. Requests that wait for their
+// answers are cut; one that was read and not begun is still refused.
 func (s *Server) Close() {
 	_ = s.cfg.Listener.Close()
 	s.mu.Lock()
+	s.finished = true
+	s.closed.Store(true)
 	for c := range s.conns {
-		_ = c.nc.Close()
+		if c.busy {
+			_ = c.nc.Close()
+		} else {
+			_ = c.nc.SetReadDeadline(_past)
+		}
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -168,6 +182,18 @@
 	br     *bufio.Reader
 	// requests is how many have been read on it.
 	requests int
+	// busy says that a request waits for its answer; kept under the server's
+	// lock.
+	busy bool
+}
+
+// setReadDeadline sets until when the connection is read, which is over once
+// the server is closed.
+func (c *callerConn) setReadDeadline(t time.Time) {
+	_ = c.nc.SetReadDeadline(t)
+	if c.server.closed.Load() {
+		_ = c.nc.SetReadDeadline(_past)
+	}
 }
 
 func (c *callerConn) serve() {
@@ -187,7 +213,7 @@
 func (c *callerConn) serveOne() bool {
 	limits := c.server.cfg.Limits()
 	if c.br.Buffered() == 0 {
-		_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
 		if _, err := c.br.Peek(1); err != nil {
 			return false
 		}
@@ -198,17 +224,13 @@
 
 		return false
 	}
-	if !c.server.begin() {
-		r.CloseAfter()
-		r.Answer(http.StatusServiceUnavailable, []Field{{
-			Name:  "Retry-After",
-			Value: _finishedRetry,
-		}}, nil)
+	if !c.server.begin(c) {
+		r.refuseFinished()
 		c.linger()
 
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	go func() {
 		defer r.finish(limits.IdleTimeout)
 		c.server.cfg.Handle(r)
@@ -259,13 +281,13 @@
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(_lingerTimeout))
+	c.setReadDeadline(time.Now().Add(_lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.br, _lingerBytes)
 }
 
 // read reads a whole request.
 func (c *callerConn) read(limits site.Limits) (*Request, error) {
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	text, err := readHead(c.br, limits.HeaderBytes)
 	if err != nil {
 		return nil, err
@@ -288,7 +310,7 @@
 			return nil, err
 		}
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
 	content, err := b.readAll(limits.BodyBytes)
 	if err != nil {
 		return nil, err
@@ -313,15 +335,21 @@
 	if status == 0 {
 		return
 	}
-	if c.server.cfg.Refused != nil {
-		c.server.cfg.Refused(status, err)
-	}
 	r := &Request{
 		Head:    &Head{},
 		conn:    c,
 		closing: true,
 		left:    make(chan struct{}),
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.closed.Load() {
+		r.refuseFinished()
+		c.linger()
+
+		return
+	}
+	if c.server.cfg.Refused != nil {
+		c.server.cfg.Refused(status, err)
+	}
 	r.Answer(status, nil, nil)
 	c.linger()
 }
@@ -449,6 +477,15 @@
 	r.flush()
 }
 
+// refuseFinished sends a caller who came too late to another instance.
+func (r *Request) refuseFinished() {
+	r.CloseAfter()
+	r.Answer(http.StatusServiceUnavailable, []Field{{
+		Name:  "Retry-After",
+		Value: _finishedRetry,
+	}}, nil)
+}
+
 // Begin starts an answer whose body follows in pieces. It goes out with the
 // first of them.
 func (r *Request) Begin(status int, reason string, fields []Field) {
@@ -556,7 +593,7 @@
 // over. The read deadline is set under the lock, so that it is never set after
 // the reader has gone on.
 func (r *Request) finish(idle time.Duration) {
-	r.conn.server.end()
+	r.conn.server.end(r.conn)
 	if !r.ended {
 		r.Cut()
 	}
@@ -566,7 +603,7 @@
 	if !r.wake && !r.closing {
 		next = next.Add(idle)
 	}
-	_ = r.conn.nc.SetReadDeadline(next)
+	r.conn.setReadDeadline(next)
 	r.finished = true
 	close(r.done)
 }
