Go on with an answer as long as its caller reads

Callers saw: a large answer cut in the middle after 10 s, though they read on steadily. Cause: the deadline of a write held for the whole answer, not for its progress. Shown by a caller that reads 64 KB every 50 ms: cut after 12.3 s with 15.7 of 16.8 MB, 'i/o timeout' as the cause; TestSteadyReader fails without the change (5.7 of 16.8 MB with a patience of 1 s) and passes with it.

Change: a write that ran into its deadline goes on if anything was read since. A caller who reads nothing for 10 s still ends it (TestReadsNothing).

--- a/hop/server.go
+++ b/hop/server.go
@@ -19,7 +19,7 @@
 
 const (
 	_callerBuffer = 4 << 10
-	// _writeTimeout ends an answer that a caller doesn't read.
+	// _writeTimeout ends an answer of which a caller reads nothing for so long.
 	_writeTimeout = 10 * time.Second
 	// _lingerTimeout is how long a closing connection is read, so that the
 	// answer isn't lost to a reset.
@@ -49,8 +49,10 @@
 
 // Server reads requests from callers. Use Serve.
 type Server struct {
-	cfg     ServerConfig
-	closing atomic.Bool
+	cfg ServerConfig
+	// patience is for how long a caller may read nothing of its answer.
+	patience time.Duration
+	closing  atomic.Bool
 	// closed says that nothing more is read.
 	closed atomic.Bool
 	mu     sync.Mutex
@@ -64,9 +66,14 @@
 
 // Serve accepts connections until Close.
 func Serve(cfg ServerConfig) *Server {
+	return serve(cfg, _writeTimeout)
+}
+
+func serve(cfg ServerConfig, patience time.Duration) *Server {
 	s := &Server{
-		cfg:   cfg,
-		conns: map[*callerConn]struct{}{},
+		cfg:      cfg,
+		patience: patience,
+		conns:    map[*callerConn]struct{}{},
 	}
 	s.wg.Go(s.accept)
 
@@ -563,8 +570,7 @@
 	if len(r.out) == 0 || r.broken {
 		return !r.broken
 	}
-	_ = r.conn.nc.SetWriteDeadline(time.Now().Add(_writeTimeout))
-	_, err := r.conn.nc.Write(r.out)
+	err := r.conn.write(r.out)
 	r.out = r.out[:0]
 	if err != nil {
 		r.mu.Lock()
@@ -578,6 +584,18 @@
 	return err == nil
 }
 
+// write writes all of p to a caller who goes on reading, however slowly.
+func (c *callerConn) write(p []byte) error {
+	for {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.patience))
+		n, err := c.nc.Write(p)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		p = p[n:]
+	}
+}
+
 // isDoneOrWakes says whether the answer is out; if not, the reader will be
 // woken when it is.
 func (r *Request) isDoneOrWakes() bool {
