Don't take a caller who pauses for a silent one

Callers saw: the connection reset in the middle of a large answer of a sound backend server if they read nothing for three seconds, and went on. Cause: the guard against silent peers sets TCP_USER_TIMEOUT, by which Linux also ends a connection whose peer acknowledges every probe of a closed window. Shown on loopback with 16 MB: a pause of 2 s passes, pauses of 4 and 8 s end with 'write: connection timed out' after 128 KB read. _writeTimeout, which says 10 s, never came to that.

Ruled out: small answers and streams; they fit the buffers, so the window stays open.

Change: a caller's connection has the time in which it may read nothing (10 s) as its guard; a backend server's keeps 3 s. A silent caller is so found after 10 s in place of 3 s. TestPausingReader fails before (127955 of bytes) and passes after.

--- a/hop/backend.go
+++ b/hop/backend.go
@@ -145,7 +145,7 @@
 		return nil, &ErrDial{Err: err}
 	}
 	// A connection without the guard works; it only ends later when silent.
-	_ = GuardSilence(nc)
+	_ = guardSilence(nc, _silence)
 	c := &Conn{
 		pool: p,
 		nc:   nc,
--- a/hop/export_test.go
+++ b/hop/export_test.go
@@ -11,3 +11,6 @@
 func ServeForTest(cfg ServerConfig, patience time.Duration) *Server {
 	return serve(cfg, patience)
 }
+
+// SilenceForTest is how long a connection to a silent backend server is kept.
+const SilenceForTest = _silence
--- a/hop/kept_test.go
+++ b/hop/kept_test.go
@@ -98,3 +98,16 @@
 		t.Errorf("ended (-want +got):\n%s", diff)
 	}
 }
+
+// TestPausingReader guards against a caller that the kernel takes for silent
+// because it has read nothing for a while, though it is there.
+func TestPausingReader(t *testing.T) {
+	t.Parallel()
+	c, want, cause := slowReader(t, time.Minute)
+	// Over the time after which a silent backend server is given up.
+	time.Sleep(hop.SilenceForTest + time.Second)
+	got, err := readAnswer(c)
+	if err != nil || !bytes.Equal(want, got) {
+		t.Errorf("read %d of %d bytes: %v; cause %v", len(got), len(want), err, <-cause)
+	}
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -210,7 +210,7 @@
 		delete(c.server.conns, c)
 		c.server.mu.Unlock()
 	}()
-	_ = GuardSilence(c.nc)
+	_ = guardSilence(c.nc, c.server.patience)
 	c.br = bufio.NewReaderSize(c.nc, _callerBuffer)
 	for c.serveOne() {
 	}
--- a/hop/silence.go
+++ b/hop/silence.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	// _userTimeout ends a connection whose peer acknowledges nothing. A peer
-	// behind a cut is out of reach of any rule after a few seconds.
-	_userTimeout = 3 * time.Second
-	_probeIdle   = 2 * time.Second
-	_probeEvery  = time.Second
-	_probeCount  = 2
+	// _silence ends a connection to a backend server that acknowledges nothing.
+	// A peer behind a cut is out of reach of any rule after a few seconds.
+	_silence    = 3 * time.Second
+	_probeIdle  = 2 * time.Second
+	_probeEvery = time.Second
+	_probeCount = 2
 )
 
-// GuardSilence lets the kernel end a connection whose peer has gone silent
-// without a reset.
-func GuardSilence(nc net.Conn) error {
+// guardSilence lets the kernel end a connection whose peer has gone silent
+// without a reset: one that for so long acknowledges nothing, or reads nothing of
+// what waits for it.
+func guardSilence(nc net.Conn, silence time.Duration) error {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return nil
@@ -36,7 +37,7 @@
 	}
 	var set error
 	err = raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(_userTimeout.Milliseconds()))
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
 	})
 
 	return errors.Join(err, set, tcp.SetKeepAliveConfig(keep))
