Hold the idle limit that is in force, and read what came in time

Callers saw two closes of a kept connection that they could still use: after a configuration had raised the idle limit, at the older limit; and, at a process that got its processor late (or was paused), with a request unread in its buffers. Cause: the limit was read before the request ahead, and a read whose deadline has passed returns without a look for bytes.

TestIdleLimitRaised and TestArrivedAtTheLimit fail before (EOF after 1 s; connection reset) and pass after.

Change: at the deadline the limit in force and the socket are looked at again. A limit that was lowered holds from the next answer on, as before.

--- a/hop/kept_test.go
+++ b/hop/kept_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +114,107 @@
 		t.Errorf("read %d of %d bytes: %v; cause %v", len(got), len(want), err, <-cause)
 	}
 }
+
+// changing is limits that can be changed while a server runs.
+type changing struct {
+	idle atomic.Int64
+}
+
+func (c *changing) limits() site.Limits {
+	limits := testLimits
+	limits.IdleTimeout = time.Duration(c.idle.Load())
+
+	return limits
+}
+
+// TestIdleLimitRaised guards against a kept connection that is closed by a limit
+// that no longer holds.
+func TestIdleLimitRaised(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var limits changing
+	limits.idle.Store(int64(time.Second))
+	s := hop.Serve(hop.ServerConfig{
+		Listener: listener,
+		Limits:   limits.limits,
+		Handle:   echo,
+	})
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	ask := func() (string, error) {
+		if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return "", err
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return "", err
+		}
+		body, err := io.ReadAll(resp.Body)
+
+		return string(body), err
+	}
+	if _, err := ask(); err != nil {
+		t.Fatal(err)
+	}
+	limits.idle.Store(int64(time.Hour))
+	_ = c.SetReadDeadline(time.Now().Add(1500 * time.Millisecond))
+	if _, err := br.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("idle for less than its limit: %v", err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	got, err := ask()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("GET /a ", got); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// TestArrivedAtTheLimit guards against a request that is closed unread, as the
+// idle time ended before the process had the processor to read it.
+func TestArrivedAtTheLimit(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := make(chan struct{})
+	s := hop.Serve(hop.ServerConfig{
+		Listener: listener,
+		Limits: func() site.Limits {
+			<-sent
+			limits := testLimits
+			limits.IdleTimeout = 0
+
+			return limits
+		},
+		Handle: echo,
+	})
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+	close(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := readAnswer(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("GET /a ", string(got)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -187,6 +187,8 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
+	// idleSince is when its last answer was out.
+	idleSince time.Time
 	// requests is how many have been read on it.
 	requests int
 	// busy says that a request waits for its answer; kept under the server's
@@ -212,20 +214,17 @@
 	}()
 	_ = guardSilence(c.nc, c.server.patience)
 	c.br = bufio.NewReaderSize(c.nc, _callerBuffer)
+	c.idleSince = time.Now()
 	for c.serveOne() {
 	}
 }
 
 // serveOne reads and answers one request, and says whether another may come.
 func (c *callerConn) serveOne() bool {
-	limits := c.server.cfg.Limits()
-	if c.br.Buffered() == 0 {
-		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
-		if _, err := c.br.Peek(1); err != nil {
-			return false
-		}
+	if c.br.Buffered() == 0 && !c.awaitFirst() {
+		return false
 	}
-	r, err := c.read(limits)
+	r, err := c.read(c.server.cfg.Limits())
 	if err != nil {
 		c.refuse(err)
 
@@ -239,7 +238,7 @@
 	}
 	c.setReadDeadline(time.Time{})
 	go func() {
-		defer r.finish(limits.IdleTimeout)
+		defer r.finish()
 		c.server.cfg.Handle(r)
 	}()
 	if !c.awaitNext(r) || r.broken {
@@ -254,8 +253,32 @@
 	return true
 }
 
+// awaitFirst waits for the first byte of a request, and says false if the
+// connection has ended or been idle for as long as the limit in force allows.
+func (c *callerConn) awaitFirst() bool {
+	for {
+		until := c.idleSince.Add(c.server.cfg.Limits().IdleTimeout)
+		c.setReadDeadline(until)
+		_, err := c.br.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.server.closed.Load() {
+			return err == nil
+		}
+		// A read whose time is over doesn't look for bytes.
+		if hasBytes(c.nc) {
+			_ = c.nc.SetReadDeadline(time.Time{})
+			_, err := c.br.Peek(1)
+
+			return err == nil
+		}
+		if !until.Before(c.idleSince.Add(c.server.cfg.Limits().IdleTimeout)) {
+			return false
+		}
+	}
+}
+
 // awaitNext waits until the answer is out and either the next request has
-// begun or the connection's idle time is over; then it says false.
+// begun or the idle time of before is over. It says false if the connection has
+// ended.
 func (c *callerConn) awaitNext(r *Request) bool {
 	for {
 		// Bytes that came early are the next request's; until the answer is
@@ -266,14 +289,10 @@
 		_, err := c.br.Peek(c.br.Buffered() + 1)
 		switch {
 		case err == nil:
-		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, bufio.ErrBufferFull), errors.Is(err, os.ErrDeadlineExceeded):
 			<-r.done
 
 			return true
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			<-r.done
-
-			return r.closing || c.br.Buffered() > 0
 		default:
 			r.leave(err)
 			<-r.done
@@ -610,7 +629,7 @@
 // lets the reader go on: at once if it must act, else when its idle time is
 // over. The read deadline is set under the lock, so that it is never set after
 // the reader has gone on.
-func (r *Request) finish(idle time.Duration) {
+func (r *Request) finish() {
 	r.conn.server.end(r.conn)
 	if !r.ended {
 		r.Cut()
@@ -618,8 +637,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := time.Now()
+	r.conn.idleSince = next
 	if !r.wake && !r.closing {
-		next = next.Add(idle)
+		next = next.Add(r.conn.server.cfg.Limits().IdleTimeout)
 	}
 	r.conn.setReadDeadline(next)
 	r.finished = true
--- a/hop/silence.go
+++ b/hop/silence.go
@@ -87,3 +87,23 @@
 
 	return closed || err != nil
 }
+
+// hasBytes says that bytes of the peer wait to be read.
+func hasBytes(nc net.Conn) bool {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+
+	return err == nil && waiting
+}
