Let TestSharedChanges end when all know the same, not after three seconds

Cause: of the test. It gave the last words half a second after the last change and then ended all followers. An instance that lost a word asks the store, which it does 500 ms after it decides to (_entryGather): a follower that got its processor a little late was ended in that pause. The test so had a bound in wall-clock time.

Change: words are told until all know the same, or for 30 s. What is compared, and that the others hardly ask the store, stay as they were.

--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -147,14 +147,34 @@
 			})
 		}()
 	}
+	want := map[string]string{"s1": "first"}
+	alike := func() bool {
+		for _, in := range instances {
+			in.mu.Lock()
+			same := cmp.Equal(want, in.known)
+			in.mu.Unlock()
+			if !same {
+				return false
+			}
+		}
+
+		return true
+	}
+	const (
+		changes = 50
+		// An instance that can't know by then will not.
+		rounds = 600
+	)
 	rng := rand.New(rand.NewPCG(1, 2))
-	for round := range 60 {
-		if round < 50 {
+	for round := 0; round < changes || round < rounds && !alike(); round++ {
+		if round < changes {
 			name := fmt.Sprintf("s%d", rng.IntN(5))
 			if rng.IntN(3) == 0 {
 				store.put(name, "")
+				delete(want, name)
 			} else {
 				store.put(name, fmt.Sprint(round))
+				want[name] = fmt.Sprint(round)
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -167,10 +187,6 @@
 	}
 	cancel()
 	wg.Wait()
-	want := map[string]string{}
-	for name, o := range store.entries {
-		want[name] = o.Value
-	}
 	asked := 0
 	for i, in := range instances {
 		if diff := cmp.Diff(want, in.known); diff != "" {
