Set the last read deadline of a kept connection under the server's closing

A read of bytes that came in time cleared the deadline that Close had set; what it reads is under that deadline again.

--- a/hop/server.go
+++ b/hop/server.go
@@ -265,7 +265,7 @@
 		}
 		// A read whose time is over doesn't look for bytes.
 		if hasBytes(c.nc) {
-			_ = c.nc.SetReadDeadline(time.Time{})
+			c.setReadDeadline(time.Time{})
 			_, err := c.br.Peek(1)
 
 			return err == nil
