--- a/standin/worker.go
+++ b/standin/worker.go
@@ -41,6 +41,8 @@
 	// ID is the request's, and Began when the run did.
 	ID    string
 	Began time.Time
+	// Ended is when the whole answer had been sent; zero if it wasn't.
+	Ended time.Time
 	// Head and Body are as they arrived.
 	Head *http.Request
 	Body string
@@ -58,7 +60,14 @@
 // protocol. The last part of a request's path says how it answers:
 //
 //	whole     a body with a length
+//	large     a body of LargeAnswer bytes
+//	chunks    a body in chunks, with an extension and a trailer
+//	interim   a body with a length, after an interim answer
+//	closing   a body with a length, and the end of the connection
+//	early     a body with a length, sent before the request's body is read
 //	events    five events
+//	weights   five events in lines that end with CR LF, each in two pieces, the
+//	          third with a first line that names the weights' version
 //	slow      five events, 40 ms apart
 //	error     a signed failure
 //	short     less than the length, then the end
@@ -92,6 +101,9 @@
 	wg       conc.WaitGroup
 }
 
+// LargeAnswer is more than the buffers of a connection hold.
+const LargeAnswer = 12 << 20
+
 const (
 	_workerBeats  = 5
 	_workerPause  = 40 * time.Millisecond
@@ -241,6 +253,14 @@
 		if err != nil {
 			return
 		}
+		if modeOf(r) == "early" {
+			open := w.answer(c, br, r, "")
+			if _, err := io.Copy(io.Discard, r.Body); err != nil || !open {
+				return
+			}
+
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !w.answer(c, br, r, string(body)) {
 			return
@@ -248,6 +268,11 @@
 	}
 }
 
+// modeOf is how a request is to be answered.
+func modeOf(r *http.Request) string {
+	return r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+}
+
 // answer answers one request and says whether the connection stays open.
 func (w *Worker) answer(c net.Conn, br *bufio.Reader, r *http.Request, body string) bool {
 	switch {
@@ -266,12 +291,14 @@
 	if model != "" && (!held || adapter != "" && !contains(adapters, adapter)) {
 		return send(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", _workerID, id, w.cfg.ID)
 	}
-	mode := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	mode := modeOf(r)
 	w.mu.Lock()
 	w.heads[id] = r
 	w.bodies[id] = body
+	run := -1
 	if mode != "full" {
 		w.runs[id]++
+		run = len(w.log)
 		w.log = append(w.log, WorkerRun{
 			ID:    id,
 			Began: time.Now(),
@@ -280,8 +307,14 @@
 		})
 	}
 	w.mu.Unlock()
+	ended, open := w.play(c, br, mode, id, r.Header.Get("Last-Event-Id"))
+	if ended && run >= 0 {
+		w.mu.Lock()
+		w.log[run].Ended = time.Now()
+		w.mu.Unlock()
+	}
 
-	return w.play(c, br, mode, id, r.Header.Get("Last-Event-Id"))
+	return open
 }
 
 func contains(list []string, s string) bool {
@@ -294,8 +327,9 @@
 	return false
 }
 
-// play answers in one of the ways.
-func (w *Worker) play(c net.Conn, br *bufio.Reader, mode, id, last string) bool {
+// play answers in one of the ways. It says whether all of a whole answer was
+// sent, and whether the connection stays open.
+func (w *Worker) play(c net.Conn, br *bufio.Reader, mode, id, last string) (ended, open bool) {
 	signed := fmt.Sprintf("%s: %s\r\n%s: seal-%s\r\n", _workerID, id, _workerSeal, w.cfg.ID)
 	if mode == "cutfail" {
 		mode = "cut"
@@ -303,58 +337,83 @@
 			mode = "error"
 		}
 	}
+	both := func(sent bool) (bool, bool) { return sent, sent }
+	const whole = "Content-Length: 5\r\n\r\nwhole"
 	switch mode {
-	case "events", "slow", "cut":
-		return w.playEvents(c, mode, signed, last)
+	case "events", "slow", "cut", "weights":
+		return both(w.playEvents(c, mode, signed, last))
+	case "large":
+		return both(send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signed, LargeAnswer, strings.Repeat("large ", LargeAnswer/6)))
+	case "chunks":
+		return both(send(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nwh\r\n3\r\nole\r\n0\r\nX-After: b\r\n\r\n", signed))
+	case "interim":
+		return both(send(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n%s%s", signed, whole))
+	case "closing":
+		return send(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n%s", signed, whole), false
 	case "error":
-		return send(c, "HTTP/1.1 500 Failed\r\n%sContent-Length: 4\r\n\r\nfail", signed)
+		return both(send(c, "HTTP/1.1 500 Failed\r\n%sContent-Length: 4\r\n\r\nfail", signed))
 	case "short":
 		send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 10\r\n\r\nhalf", signed)
 
-		return false
+		return false, false
 	case "long":
-		send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", signed)
-
-		return true
+		return both(send(c, "HTTP/1.1 200 OK\r\n%s%sHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", signed, whole))
 	case "late":
-		return send(c, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: seal\r\nContent-Length: 5\r\n\r\nother"+
-			"HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwhole", _workerID, _workerSeal, signed)
+		return both(send(c, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: seal\r\nContent-Length: 5\r\n\r\nother"+
+			"HTTP/1.1 200 OK\r\n%s%s", _workerID, _workerSeal, signed, whole))
 	case "unframed":
-		send(c, "HTTP/1.1 200 OK\r\n%s\r\nwhole", signed)
-
-		return false
+		return send(c, "HTTP/1.1 200 OK\r\n%s\r\nwhole", signed), false
 	case "unsigned":
-		return send(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", _workerID, id)
+		return false, send(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", _workerID, id, whole)
 	case "encoded":
-		return send(c, "HTTP/1.1 200 OK\r\n%sContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole", signed)
+		return false, send(c, "HTTP/1.1 200 OK\r\n%sContent-Encoding: gzip\r\n%s", signed, whole)
 	case "garbage":
 		send(c, "\x00\x01garbage\r\n\r\n")
 
-		return false
+		return false, false
 	case "full":
-		return send(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", _workerID, id, _workerNotRun)
+		return false, send(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", _workerID, id, _workerNotRun)
 	case "hang":
 		// Ends when the other side closes.
 		_, _ = br.Peek(1)
 
-		return false
+		return false, false
 	default:
-		return send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nwhole", signed)
+		return both(send(c, "HTTP/1.1 200 OK\r\n%s%s", signed, whole))
 	}
 }
 
-// playEvents sends the events after the one named last.
+// playEvents sends the events after the one named last, and says whether all
+// went out.
 func (w *Worker) playEvents(c net.Conn, mode, signed, last string) bool {
 	// No last event is the beginning.
 	from, _ := strconv.Atoi(last)
 	send(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed)
 	for i := from + 1; i <= _workerBeats; i++ {
 		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if mode == "weights" {
+			if i == 3 {
+				text = "x-weight-versions: 2\n" + text
+			}
+			text = strings.ReplaceAll(text, "\n", "\r\n")
+		}
+		half := len(text) / 2
 		if mode == "cut" && i == 3 && from == 0 {
-			send(c, "%x\r\n%s", len(text), text[:len(text)/2])
+			send(c, "%x\r\n%s", len(text), text[:half])
 
 			return false
 		}
+		if mode == "weights" {
+			if !send(c, "%x\r\n%s", len(text), text[:half]) {
+				return false
+			}
+			time.Sleep(_workerPause)
+			if !send(c, "%s\r\n", text[half:]) {
+				return false
+			}
+
+			continue
+		}
 		if !send(c, "%x\r\n%s\r\n", len(text), text) {
 			return false
 		}
