--- a/hop/kept_test.go
+++ b/hop/kept_test.go
@@ -218,3 +218,41 @@
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestSilentCaller guards against a caller that is taken for gone because it sends
+// nothing while it waits.
+func TestSilentCaller(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := hop.ServeForTest(hop.ServerConfig{
+		Listener: listener,
+		Limits:   func() site.Limits { return testLimits },
+		Handle: func(r *hop.Request) {
+			// Some probes later.
+			select {
+			case <-r.Left():
+			case <-time.After(2 * hop.SilenceForTest):
+			}
+			echo(r)
+		},
+	}, time.Second)
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := readAnswer(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("GET /a ", string(got)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
