--- a/entry/entry.go
+++ b/entry/entry.go
@@ -313,8 +313,9 @@
 	e.cfg.Log.Write(event.EntryStopped, zap.Int("Busy", e.busy()), zap.Duration("After", timer.Elapsed()-time.Duration(e.leftAt.Load())))
 	e.stop()
 	e.end()
-	e.steward.Close()
+	// The store may take longer than the platform waits.
 	e.closeServers()
+	e.steward.Close()
 	if e.hub != nil {
 		e.hub.Close()
 	}
