Release the leases while leaving, not when the time to stop is over

An instance that held leases and had a request running to the end of its stop was killed by the platform while the store was silent.

Cause: the leases were released after the time to stop was over, one after the other, each for up to 0.5 s of a store that doesn't answer: with 0.4 s left.

Ruled out: the removal of the instance's record, which has a goroutine of its own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -254,7 +254,13 @@
 	}
 	least := _ttlsKept*e.ttl() + 500*time.Millisecond
 	most := e.cfg.Settings.Bounds.Grace - _leaveMargin
+	released := false
 	for passed := time.Duration(0); passed < most; passed = timer.Elapsed() - began {
+		if !released && passed >= _leaveServes {
+			// Not at the end: a store that doesn't answer would outlast it.
+			released = true
+			e.wg.Go(e.steward.Close)
+		}
 		if passed >= least && e.finish() {
 			break
 		}
--- a/soak/calls_test.go
+++ b/soak/calls_test.go
@@ -37,6 +37,8 @@
 	whole bool
 	// answerID is the id that the answer bore.
 	answerID string
+	// written says that the request went out whole.
+	written bool
 }
 
 // history is all calls.
@@ -58,10 +60,18 @@
 	history *history
 	rng     *rand.Rand
 	name    string
-	conn    net.Conn
-	br      *bufio.Reader
+	// kinds are those that it asks for.
+	kinds []string
+	// at is whom it asks, nil for any, and patience for how long it waits.
+	at       *process
+	patience time.Duration
+	conn     net.Conn
+	br       *bufio.Reader
 }
 
+// _kinds are the kinds of request with keys.
+var _kinds = []string{"once", "again", "stream", "resume"}
+
 func (c *caller) run(ctx context.Context) {
 	defer c.drop()
 	for n := 0; ctx.Err() == nil; n++ {
@@ -79,14 +89,16 @@
 
 // request sends one request with an id of its own.
 func (c *caller) request(id string) call {
-	kinds := []string{"once", "again", "stream", "resume"}
 	ways := map[string][]string{
 		"once":   {"whole", "whole", "whole", "error", "full", "short"},
 		"again":  {"whole", "whole", "whole", "error", "full", "short", "late"},
 		"stream": {"events", "events", "slow", "cut"},
 		"resume": {"events", "events", "slow", "cut"},
+		"open":   {"whole", "whole", "error", "full", "short"},
+		"free":   {"events", "events", "slow"},
+		"long":   {"hang"},
 	}
-	kind := kinds[c.rng.IntN(len(kinds))]
+	kind := c.kinds[c.rng.IntN(len(c.kinds))]
 	way := ways[kind]
 	call := call{
 		id:   id,
@@ -96,15 +108,22 @@
 		body: strings.Repeat(id, 1+c.rng.IntN(20)),
 		sent: time.Now(),
 	}
+	key := "X-Key: " + call.key + "\r\n"
+	if kind == "open" || kind == "free" || kind == "long" {
+		call.key, key = "", ""
+	}
 	model := ""
-	if kind == "stream" || kind == "resume" {
+	if kind == "stream" || kind == "resume" || kind == "free" {
 		model = "X-Model: m\r\n"
 		if c.rng.IntN(3) == 0 {
 			model = fmt.Sprintf("X-Model: m/a%d\r\n", 1+c.rng.IntN(6))
 		}
 	}
 	if c.conn == nil {
-		p := c.f.procs[c.rng.IntN(len(c.f.procs))]
+		p := c.at
+		if p == nil {
+			p = c.f.procs[c.rng.IntN(len(c.f.procs))]
+		}
 		conn, err := net.DialTimeout("tcp", p.front(), 200*time.Millisecond)
 		if err != nil {
 			call.ended = time.Now()
@@ -114,10 +133,11 @@
 		c.conn = conn
 		c.br = bufio.NewReader(conn)
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(_patience))
-	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		call.path, _host, id, _patience.Milliseconds(), call.key, model, len(call.body), call.body)
+	_ = c.conn.SetDeadline(time.Now().Add(c.patience))
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		call.path, _host, id, c.patience.Milliseconds(), key, model, len(call.body), call.body)
 	if err == nil {
+		call.written = true
 		err = c.read(&call)
 	}
 	call.ended = time.Now()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -51,7 +51,7 @@
 	}
 	for id, list := range runs {
 		c := calls[id]
-		once := c.kind == "once" || c.kind == "stream"
+		once := c.kind != "again" && c.kind != "resume"
 		if once && len(list) > 1 {
 			out = append(out, fmt.Sprintf("%s: ran %d times, may run once", id, len(list)))
 		}
@@ -76,7 +76,7 @@
 		out = append(out, fmt.Sprintf("%s: success with id %q and signature %q", c.id, c.answerID, c.seal))
 	}
 	want := "whole"
-	if c.kind == "stream" || c.kind == "resume" {
+	if c.kind == "stream" || c.kind == "resume" || c.kind == "free" {
 		want = _events
 	}
 	if c.whole && c.answer != want || !strings.HasPrefix(want, c.answer) {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -93,6 +93,8 @@
 	woken []time.Time
 	// stray are the ends that nobody asked for.
 	stray []string
+	// code is how it ended last.
+	code int
 }
 
 func (p *process) front() string { return p.ip + ":8221" }
@@ -127,6 +129,7 @@
 			p.stray = append(p.stray, fmt.Sprintf("%v: %s", err, tail(logs.Bytes())))
 		}
 		p.cmd = nil
+		p.code = cmd.ProcessState.ExitCode()
 		p.mu.Unlock()
 		close(exited)
 	}()
@@ -174,6 +177,8 @@
 	links   []*proxy
 	mu      sync.Mutex
 	version int
+	// grace is for how long a process may run when it was told to stop.
+	grace time.Duration
 	// revoked is when the second key was withdrawn, as the store said; zero if
 	// it wasn't.
 	revoked time.Time
@@ -181,7 +186,7 @@
 	steps   []string
 }
 
-func newFleet(t *testing.T, instances int) *fleet {
+func newFleet(t *testing.T, instances int, grace time.Duration) *fleet {
 	t.Helper()
 	build(t)
 	store, err := standin.NewPlatform(standin.PlatformConfig{Address: "127.0.0.1:0"})
@@ -193,6 +198,7 @@
 		store:   store,
 		workers: map[string]*standin.Worker{},
 		begun:   time.Now(),
+		grace:   grace,
 	}
 	t.Cleanup(store.Close)
 	for id, service := range map[string]string{"w-1": "plain", "w-2": "plain", "e-1": "engines", "e-2": "engines"} {
@@ -267,7 +273,7 @@
 [bounds]
 apply_ms = 1500
 revoke_ms = %d
-grace_s = 3
+grace_s = %g
 lease_ms = %d
 retry_slack = 1000
 quota_over = %g
@@ -275,7 +281,7 @@
 quota_window_s = %g
 [infra]
 addr = %q
-`, p.name, p.ip, string(rune('a'+i%2)), p.ip, p.ip, p.ip, _revoke.Milliseconds(), _turn.Milliseconds(), _over, _slack, _window.Seconds(), p.link.address)
+`, p.name, p.ip, string(rune('a'+i%2)), p.ip, p.ip, p.ip, _revoke.Milliseconds(), f.grace.Seconds(), _turn.Milliseconds(), _over, _slack, _window.Seconds(), p.link.address)
 }
 
 // configure writes a configuration with one key of the first workspace, or
@@ -304,6 +310,9 @@
 		"routes": []any{
 			route("once", "non_idempotent", "plain", nil),
 			route("again", "idempotent", "plain", nil),
+			route("open", "non_idempotent", "plain", map[string]any{"public": true}),
+			route("long", "non_idempotent", "plain", map[string]any{"public": true, "timeout_ms": 20000}),
+			route("free", "streaming", "engines", map[string]any{"public": true}),
 			route("stream", "streaming", "engines", nil),
 			route("resume", "streaming", "engines", map[string]any{"can_resume": true}),
 		},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,8 @@
 const (
 	_instances = 4
 	_length    = 10 * time.Second
+	// _shortGrace is for how long a process may run when it was told to stop.
+	_shortGrace = 3 * time.Second
 	// _series is how many series of faults run at once, and _longest how long a
 	// fault lasts at most.
 	_series  = 2
@@ -150,7 +152,7 @@
 			t.Fatal(err)
 		}
 	}
-	f := newFleet(t, n)
+	f := newFleet(t, n, _shortGrace)
 	for _, p := range f.procs {
 		f.eventually(p.name+" ready", p.isReady)
 	}
@@ -159,10 +161,12 @@
 	var callers, series sync.WaitGroup
 	for i := range _callers {
 		c := &caller{
-			f:       f,
-			history: &h,
-			rng:     rand.New(rand.NewPCG(seed, uint64(i))),
-			name:    fmt.Sprintf("c%d", i),
+			f:        f,
+			history:  &h,
+			rng:      rand.New(rand.NewPCG(seed, uint64(i))),
+			name:     fmt.Sprintf("c%d", i),
+			kinds:    _kinds,
+			patience: _patience,
 		}
 		callers.Add(1)
 		go func() {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -143,6 +143,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	wg      conc.WaitGroup
+	once    sync.Once
 }
 
 // shardState is this instance's part in one shard.
@@ -180,13 +181,18 @@
 	return s
 }
 
-// Close releases the lease and waits.
+// Close releases the leases and waits. It may be called again.
 func (s *Steward) Close() {
-	s.stop()
-	s.wg.Wait()
-	for _, l := range s.cfg.Leases {
-		l.Release(context.Background())
-	}
+	s.once.Do(func() {
+		s.stop()
+		s.wg.Wait()
+		// All together: each may wait for a store that doesn't answer.
+		var wg conc.WaitGroup
+		for _, l := range s.cfg.Leases {
+			wg.Go(func() { l.Release(context.Background()) })
+		}
+		wg.Wait()
+	})
 }
 
 // shard is the shard of a backend server: that of its failure domain, so that
