Let limits that a configuration doesn't give be as before one is known

Callers saw: nothing yet. With a configuration that leaves out the limits on what callers send, or gives 0, an instance refused every request (431, 408), or closed its connection while it was on its way, at all its addresses: also the platform's question whether it is ready.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -190,7 +190,8 @@
 	if now := e.current.Load(); now != nil && now.Version > cfg.Version {
 		return
 	}
-	e.limits.Store(&cfg.Limits)
+	limits := limitsOf(cfg.Limits)
+	e.limits.Store(&limits)
 	e.book.SetWorkspaces(cfg.Workspaces, time.Now())
 	e.current.Store(cfg)
 	if e.hub.Reads() {
@@ -200,6 +201,26 @@
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Services", len(cfg.Services)), zap.Int("Workspaces", len(cfg.Workspaces)))
 }
 
+// limitsOf are the limits in force by a configuration: what it doesn't give is as
+// before one is known.
+func limitsOf(l site.Limits) site.Limits {
+	out := _firstLimits
+	if l.HeaderBytes > 0 {
+		out.HeaderBytes = l.HeaderBytes
+	}
+	if l.BodyBytes > 0 {
+		out.BodyBytes = l.BodyBytes
+	}
+	if l.HeaderTimeout > 0 {
+		out.HeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		out.IdleTimeout = l.IdleTimeout
+	}
+
+	return out
+}
+
 // keysAllowed says whether requests with keys may be passed on: the
 // configuration was current so lately that no withdrawn key is still in it.
 func (e *Entry) keysAllowed() bool {
