Let a stream that ran wait for a copy also while the instance leaves

Callers saw: a stream that may be resumed, whose backend server was gone over 2.8 s after the stop, was cut at once, though a copy at another one was 0.2 s away and the process had 1.5 s left.

What ran can only be cut.

Change: only what has not run is refused early; what ran waits until the process ends.

--- a/entry/request.go
+++ b/entry/request.go
@@ -302,7 +302,7 @@
 
 			return
 		}
-		choice, ok := j.choose()
+		choice, ok := j.choose(ran)
 		if !ran && !e.takes(j.limit) {
 			j.giveBack()
 			j.refuseLeaving()
@@ -350,8 +350,9 @@
 }
 
 // choose picks a backend server. If none holds the target, it waits for the
-// steward to have it loaded, as long as the answer can still be in time.
-func (j *job) choose() (dispatch.Choice, bool) {
+// steward to have it loaded, as long as the answer can still be in time. One
+// that ran can't be had elsewhere and waits until the process ends.
+func (j *job) choose(ran bool) (dispatch.Choice, bool) {
 	e := j.e
 	patience := j.patience()
 	for {
@@ -371,7 +372,10 @@
 			j.waited = true
 			e.demand.wait(j.demandKey())
 		}
-		if choice.Reason != dispatch.ReasonNoCopy || !now.Before(patience) || !e.takes(j.limit) {
+		if choice.Reason != dispatch.ReasonNoCopy || !now.Before(patience) {
+			return choice, false
+		}
+		if e.ending.Err() != nil || !ran && !e.takes(j.limit) {
 			return choice, false
 		}
 		e.need(j.service, j.call.Target)
