Ask the callers' requests first whether all taking of requests may end

Callers saw: an instance that leaves, past the time for which callers keep their answers, refused (503) to say where callers should go for as long as a request ran, up to four seconds, while it still served requests.

Cause: finish ends the taking at one address after the other until it finds a busy one. The addresses' order was that of a map, so that at half of the starts locate was ended before the callers' address was found busy.

Change: the addresses are kept in order, the callers' first. The instance is not asked to be ready any more by then, so that this costs callers a look-up, not a request.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,23 +214,39 @@
 		Log:     e.cfg.Log,
 	})
 	e.hub.Start()
-	for address, handle := range map[string]func(r *hop.Request){
-		s.CallerAddress:  e.handle,
-		s.ReadyAddress:   e.handleReady,
-		s.LocateAddress:  e.handleLocate,
-		s.MetricsAddress: e.handleMetrics,
+	// Callers come first: finish asks in this order.
+	for _, l := range []struct {
+		address string
+		handle  func(r *hop.Request)
+	}{
+		{
+			address: s.CallerAddress,
+			handle:  e.handle,
+		},
+		{
+			address: s.ReadyAddress,
+			handle:  e.handleReady,
+		},
+		{
+			address: s.LocateAddress,
+			handle:  e.handleLocate,
+		},
+		{
+			address: s.MetricsAddress,
+			handle:  e.handleMetrics,
+		},
 	} {
-		if address == "" {
+		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return eris.Wrapf(err, "entry: listen on %s", address)
+			return eris.Wrapf(err, "entry: listen on %s", l.address)
 		}
 		e.servers = append(e.servers, hop.Serve(hop.ServerConfig{
 			Listener: listener,
 			Limits:   func() site.Limits { return *e.limits.Load() },
-			Handle:   handle,
+			Handle:   l.handle,
 			Refused:  e.malformed,
 		}))
 	}
@@ -275,7 +291,7 @@
 	}
 }
 
-// finish ends the taking of requests at all addresses, if none waits.
+// finish ends the taking of requests at all addresses, if no caller waits.
 func (e *Entry) finish() bool {
 	for _, s := range e.servers {
 		if !s.Finish() {
