Answer what waits at a gateway that closes

Cause: Close cancelled only requests at an engine; contexts of the others had no end but their own deadline. After 5 s Close went on, and the process ended with them open.

Change: the contexts of requests end with the gateway. Not covered: service.Client waits for a call that has been sent until its deadline, whatever its context says.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -27,7 +27,7 @@
 	if p != nil {
 		return g.refuse(c, req.work.RequestID, status, *p)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), req.work.Deadline)
+	ctx, cancel := context.WithDeadline(g.ctx, req.work.Deadline)
 	defer cancel()
 	if refusal := g.cfg.Parts.Reserve(ctx, req.work); refusal != nil {
 		p := notRun("rate_limit_exceeded", refusal.Reason, refusal.RetryAfter)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,9 @@
 	running  atomic.Int64
 	mu       sync.Mutex
 	open     map[string]*relay
+	// ctx ends with the gateway: what waits then is answered.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // New listens. Call Serve when the parts are ready.
@@ -197,10 +200,13 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "gateway: listen on %s", cfg.Address)
 	}
+	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg:      cfg,
 		listener: listener,
 		open:     map[string]*relay{},
+		ctx:      ctx,
+		stop:     stop,
 	}
 	g.app = fiber.New(fiber.Config{
 		AppName:           "papayastair",
@@ -254,6 +260,7 @@
 	g.sweep.Stop()
 	g.draining.Store(true)
 	g.cancelOpen(func(*relay) bool { return true }, "instance_closes")
+	g.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), _shutdownGrace)
 	defer cancel()
 	_ = g.app.ShutdownWithContext(ctx)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -188,7 +188,7 @@
 		}
 		// The deadline was that of the beginning; the rest gets a new one.
 		r.req.work.Deadline = r.gateway.cfg.Timer.Now().Add(defaultTimeout(r.req.work.Priority))
-		ctx, cancel := context.WithDeadline(context.Background(), r.req.work.Deadline)
+		ctx, cancel := context.WithDeadline(r.gateway.ctx, r.req.work.Deadline)
 		p := r.start(ctx)
 		cancel()
 		if p != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -103,7 +103,7 @@
 }
 
 func (g *Gateway) callService(c fiber.Ctx, call ServiceCall) error {
-	ctx, cancel := context.WithDeadline(context.Background(), call.Work.Deadline)
+	ctx, cancel := context.WithDeadline(g.ctx, call.Work.Deadline)
 	defer cancel()
 	limited := call.Work.Caller.Workspace != ""
 	if limited {
