Log a stream that the end of the process cuts as cut by it

Whoever read the log saw: EntryFailed with "StreamBroken" or "NoAnswer" and a timeout at the backend server, for a stream that the process itself ended; EntryCut, counted for just this, no longer came.

Cause: since the waits for backend servers end before the connections are closed, such a stream ends in fail and no longer in leave.

Evidence: platform TestBegunAtTheEnd, on: EntryFailed, no EntryCut (both kinds of stream); after: EntryCut, no EntryFailed (3 of 3).

Change: fail logs a begun answer as cut once the process ends.

--- a/entry/request.go
+++ b/entry/request.go
@@ -104,6 +104,11 @@
 	switch {
 	case j.r.Begun():
 		j.r.Cut()
+		if j.e.ending.Err() != nil {
+			j.logCut(true, j.lastErr)
+
+			return
+		}
 	case j.fallback != nil:
 		status = j.fallback.status
 		j.r.Answer(status, j.fallback.fields, j.fallback.body)
@@ -443,15 +448,23 @@
 	if j.sent == 0 {
 		j.giveBack()
 	}
-	log := append(j.logFields(), zap.Bool("Begun", begun), zap.Bool("Leaving", j.e.leaving.Load()), zap.NamedError("Cause", cause))
 	if errors.Is(cause, net.ErrClosed) {
-		j.count("Cut")
-		j.e.cfg.Log.Write(event.EntryCut, log...)
+		j.logCut(begun, cause)
 
 		return
 	}
 	j.count("Left")
-	j.e.cfg.Log.Write(event.EntryLeft, log...)
+	j.e.cfg.Log.Write(event.EntryLeft, j.endFields(begun, cause)...)
+}
+
+// logCut logs a connection that the process ended because it ends itself.
+func (j *job) logCut(begun bool, cause error) {
+	j.count("Cut")
+	j.e.cfg.Log.Write(event.EntryCut, j.endFields(begun, cause)...)
+}
+
+func (j *job) endFields(begun bool, cause error) []zap.Field {
+	return append(j.logFields(), zap.Bool("Begun", begun), zap.Bool("Leaving", j.e.leaving.Load()), zap.NamedError("Cause", cause))
 }
 
 // outgoing is what the backend server is told.
