Dial backend servers no longer than the process lives

Callers saw: at the end of a stop, a request whose backend server was being dialled got a closed connection and no answer; it had been sent nowhere.

Cause: a dial takes up to 250 ms and nothing but its own time ends it; the last answers wait for 200 ms.

Change: while the instance leaves, a dial ends with its time.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -82,7 +82,7 @@
 func (a *attempt) do() (dispatch.Result, verdict, error) {
 	j := a.j
 	pool := j.e.pool(a.choice.Server)
-	conn, err := pool.Get(min(_dialTimeout, time.Until(j.limit)))
+	conn, err := pool.Get(j.dialTime())
 	if err != nil {
 		return dispatch.ResultUnreachable, verdictNotSent, err
 	}
@@ -125,6 +125,17 @@
 	return a.pass(head, answer)
 }
 
+// dialTime is how long a connection may take: no longer than the process lives.
+func (j *job) dialTime() time.Duration {
+	most := min(_dialTimeout, time.Until(j.limit))
+	if !j.e.leaving.Load() {
+		return most
+	}
+	left, _ := j.e.endsIn()
+
+	return min(most, left)
+}
+
 // noAnswer is the outcome of a request that got no answer.
 func (a *attempt) noAnswer(err error) (dispatch.Result, verdict, error) {
 	if time.Until(a.j.limit) <= 0 && !a.j.r.Begun() {
