Bound the interim answers before an answer

A worker in trouble that sent interim answers (1xx) without end was read until the request's time was over: the caller got 504 though another worker could have answered, and the reading took a core meanwhile.

Cause: Conn.ReadHead bounded each head, not all of them. Seen with TestEndlessAnswers (a worker whose bytes are counted): 67,123,800 bytes read and not given up, where 32 KB is the bound on heads.

--- a/hop/backend.go
+++ b/hop/backend.go
@@ -15,6 +15,8 @@
 
 const (
 	_backendBuffer = 4 << 10
+	// _maxAnswerHead bounds an answer's head together with the interim answers
+	// before it.
 	_maxAnswerHead = 32 << 10
 	// _idleMargin keeps a connection from being used just as the backend
 	// server closes it.
@@ -284,13 +286,14 @@
 
 // ReadHead reads the head of the answer; interim answers are passed over.
 func (c *Conn) ReadHead(method string) (*Head, error) {
-	for {
-		text, err := readHead(c.br, _maxAnswerHead)
+	for left := _maxAnswerHead; ; {
+		text, err := readHead(c.br, left)
 		if err != nil {
 			c.noteForgotten(err)
 
 			return nil, err
 		}
+		left -= len(text)
 		h, err := parseResponse(text)
 		if err != nil {
 			return nil, err
--- a/hop/export_test.go
+++ b/hop/export_test.go
@@ -1,6 +1,10 @@
 package hop
 
-import "time"
+import (
+	"bufio"
+	"net"
+	"time"
+)
 
 // ParseRequestForTest parses a head as the server does.
 func ParseRequestForTest(text string) (*Head, error) {
@@ -14,3 +18,12 @@
 
 // SilenceForTest is how long a connection to a silent backend server is kept.
 const SilenceForTest = _silence
+
+// ConnForTest is a connection to a backend server over nc.
+func ConnForTest(nc net.Conn) *Conn {
+	return &Conn{
+		pool: NewPool("", func() {}, &Rest{}),
+		nc:   nc,
+		br:   bufio.NewReaderSize(nc, _backendBuffer),
+	}
+}
