End an answer whose chunks are mostly framing

A worker in trouble that sent chunks of one byte with long extensions was read at two hundred times the bound on a body: each byte of it costs 206 on the link, and the time of the processor.

Seen with TestEndlessAnswers, row "chunks of one byte with extensions": 67,232,224 bytes read and not given up, where the bound on the body is 1 MB.

What frames the chunks is now counted as in net/http (16 bytes a chunk and twice the bytes are free, 16 KB over that end the body), for answers and for requests. The row passes; chunks of one byte without extensions are still read, up to the bound on the body.

--- a/hop/body.go
+++ b/hop/body.go
@@ -12,7 +12,12 @@
 	// _maxChunkLine bounds the line before a chunk, with its extensions.
 	_maxChunkLine = 256
 	// _maxTrailer bounds the trailer fields, which are dropped.
-	_maxTrailer   = 4 << 10
+	_maxTrailer = 4 << 10
+	// _freeOverhead is what may frame a chunk apart from its bytes, and
+	// _maxOverhead bounds what comes beyond that and beyond twice the bytes, over
+	// a whole body. The figures are those of net/http.
+	_freeOverhead = 16
+	_maxOverhead  = 16 << 10
 	_maxHexDigits = 7
 )
 
@@ -26,6 +31,8 @@
 	toEnd bool
 	done  bool
 	began bool
+	// overhead is how much more than is usual has framed the chunks.
+	overhead int
 }
 
 func newBody(br *bufio.Reader, f framing) *body {
@@ -94,6 +101,10 @@
 	if digits == 0 || digits > _maxHexDigits || digits < len(line) && line[digits] != ';' {
 		return eris.Wrap(ErrMalformed, "chunk size")
 	}
+	b.overhead = max(b.overhead+len(line)+2-_freeOverhead-2*size, 0)
+	if b.overhead > _maxOverhead {
+		return eris.Wrap(ErrMalformed, "chunk overhead")
+	}
 	if size > 0 {
 		b.left = size
 
--- a/hop/endless_test.go
+++ b/hop/endless_test.go
@@ -130,6 +130,13 @@
 			bound: _limitForTest*6 + headBound,
 			want:  hop.ErrBodyTooLarge,
 		},
+		{
+			name:  "chunks of one byte with extensions",
+			begin: chunked,
+			again: "1;" + strings.Repeat("e", 200) + "\r\nx\r\n",
+			bound: _limitForTest + headBound,
+			want:  hop.ErrMalformed,
+		},
 		{
 			name:  "chunk extension without end",
 			begin: chunked + "1;",
