Keep a blank event from ending the process

A worker whose stream brought a blank event in a piece of its own ("\n\n" and nothing else, where nothing was pending) ended the whole process: the handler's goroutine panicked with "slice bounds out of range [3:2]", and every caller's request on that machine was lost. Where more followed in the piece, one byte of the next event was passed on with the blank one, and that event's id was not kept.

Cause: lastEventEnd compared the place of "\n\n" with that of "\r\n\r\n" plus two; with the first at 0 and none of the second (-1) it took the second to be there and answered 3. Found by cutting a stream into random pieces.

TestEvents has three rows with blank events; "blank event alone" panicked before, as quoted. The end is now the farther of the two that are there.

--- a/hop/events.go
+++ b/hop/events.go
@@ -60,16 +60,14 @@
 
 // lastEventEnd is the length of the whole events in p.
 func lastEventEnd(p []byte) int {
-	lf := bytes.LastIndex(p, []byte("\n\n"))
-	crlf := bytes.LastIndex(p, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return 0
-	case crlf+2 > lf:
-		return crlf + 4
-	default:
-		return lf + 2
+	end := 0
+	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.LastIndex(p, []byte(blank)); i >= 0 {
+			end = max(end, i+len(blank))
+		}
 	}
+
+	return end
 }
 
 // takeIDs checks that the ids of whole events increase by one, where they are
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -40,6 +40,26 @@
 			last: "1",
 			rest: "id: 2\r\n",
 		},
+		{
+			// A piece that is only the end of an event ended the process: one byte
+			// more than there was.
+			name: "blank event alone",
+			give: []string{"id: 1\n\n", "\n\n", "id: 2\n\n"},
+			want: []string{"id: 1\n\n", "\n\n", "id: 2\n\n"},
+			last: "2",
+		},
+		{
+			name: "blank event before another",
+			give: []string{"id: 1\n\n", "\n\nid: 2\n", "\n"},
+			want: []string{"id: 1\n\n", "\n\n", "id: 2\n\n"},
+			last: "2",
+		},
+		{
+			name: "blank event with carriage returns",
+			give: []string{"id: 1\n\n", "\r\n\r\n", "id: 2\n\n"},
+			want: []string{"id: 1\n\n", "\r\n\r\n", "id: 2\n\n"},
+			last: "2",
+		},
 		{
 			name: "gap",
 			give: []string{"id: 1\n\n", "id: 3\n\n"},
