Take an event that comes in small pieces in linear time

A worker in trouble that sent one event without end, in small pieces, took the processor: each piece copied and searched all that was there before.

--- a/hop/endless_test.go
+++ b/hop/endless_test.go
@@ -1,8 +1,10 @@
 package hop_test
 
 import (
+	"bufio"
 	"errors"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -44,6 +46,8 @@
 const (
 	_limitForTest = 1 << 20
 	_stopForTest  = 64 << 20
+	// _eventBound is the longest line that Go's bufio.Scanner takes by default.
+	_eventBound = bufio.MaxScanTokenSize
 )
 
 // TestEndlessAnswers guards against reading on in bytes that are no answer: each
@@ -199,3 +203,53 @@
 
 	return err
 }
+
+// TestEndlessEvent guards against an event without end that is kept: it must end
+// in an error by the bound on one event.
+func TestEndlessEvent(t *testing.T) {
+	for _, piece := range []string{"data: x\n", strings.Repeat("x", 4<<10)} {
+		var e hop.Events
+		var err error
+		fed := 0
+		for err == nil && fed < 2*_eventBound {
+			_, err = e.Feed([]byte(piece))
+			fed += len(piece)
+		}
+		if !errors.Is(err, hop.ErrMalformed) || fed > _eventBound+len(piece) {
+			t.Errorf("pieces of %d bytes: err = %v after %d bytes, want %v by %d", len(piece), err, fed, hop.ErrMalformed, _eventBound)
+		}
+	}
+}
+
+// TestEventInSmallPieces guards against work that grows with the square of an
+// event's length: what is copied must stay within a few times what came.
+func TestEventInSmallPieces(t *testing.T) {
+	const (
+		length = 32 << 10
+		factor = 8
+	)
+	var e hop.Events
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range length {
+		if _, err := e.Feed([]byte{'x'}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; got > factor*length {
+		t.Errorf("an event of %d bytes in pieces of one took %d bytes of memory, want at most %d", length, got, factor*length)
+	}
+}
+
+// BenchmarkEventInSmallPieces shows the work for one event.
+func BenchmarkEventInSmallPieces(b *testing.B) {
+	for b.Loop() {
+		var e hop.Events
+		for range 32 << 10 {
+			if _, err := e.Feed([]byte{'x'}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- a/hop/events.go
+++ b/hop/events.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bufio"
 	"bytes"
 	"strconv"
 
@@ -15,47 +16,60 @@
 	// one.
 	LastID string
 
-	part []byte
+	// part is what came of an event that isn't whole, behind the given bytes
+	// that the last call returned.
+	part  []byte
+	given int
 }
 
-// _maxEvent bounds one event.
-const _maxEvent = 1 << 20
+// _maxEvent bounds one event: the longest line that bufio.Scanner takes by
+// default.
+const _maxEvent = bufio.MaxScanTokenSize
 
 // Feed takes a piece of the stream and returns the whole events that it
 // completes. The result is valid until the next call.
 func (e *Events) Feed(p []byte) ([]byte, error) {
-	data := p
-	if len(e.part) > 0 {
-		e.part = append(e.part, p...)
-		data = e.part
+	e.part = e.part[:copy(e.part, e.part[e.given:])]
+	e.given = 0
+	if len(e.part) == 0 {
+		end := lastEventEnd(p)
+		if err := e.takeIDs(p[:end]); err != nil {
+			return nil, err
+		}
+		e.part = append(e.part, p[end:]...)
+
+		return p[:end], e.checkRest()
 	}
-	end := lastEventEnd(data)
-	whole := data[:end]
-	if err := e.takeIDs(whole); err != nil {
-		return nil, err
+	// The end of an event may lie on both sides.
+	from := max(len(e.part)-len("\r\n\r"), 0)
+	e.part = append(e.part, p...)
+	if end := lastEventEnd(e.part[from:]); end > 0 {
+		e.given = from + end
 	}
-	rest := data[end:]
-	if len(rest) > _maxEvent {
-		return nil, eris.Wrap(ErrMalformed, "event too long")
+	if err := e.takeIDs(e.part[:e.given]); err != nil {
+		return nil, err
 	}
-	if len(rest) == 0 {
-		e.part = e.part[:0]
 
-		return whole, nil
+	return e.part[:e.given], e.checkRest()
+}
+
+func (e *Events) checkRest() error {
+	if len(e.Rest()) > _maxEvent {
+		return eris.Wrap(ErrMalformed, "event too long")
 	}
-	e.part = append([]byte(nil), rest...)
 
-	return whole, nil
+	return nil
 }
 
 // Rest is what came of an event that isn't whole.
 func (e *Events) Rest() []byte {
-	return e.part
+	return e.part[e.given:]
 }
 
 // Drop forgets the part of an event that broke off.
 func (e *Events) Drop() {
 	e.part = nil
+	e.given = 0
 }
 
 // lastEventEnd is the length of the whole events in p.
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -97,3 +99,35 @@
 		})
 	}
 }
+
+// TestEventsInAnyPieces guards against events that are lost, doubled or cut when
+// their ends are split: however a stream is cut into pieces, the events are the
+// same.
+func TestEventsInAnyPieces(t *testing.T) {
+	const (
+		stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:\n\nid: 3\ndata: c\n\n\n\nid: 4\r\n\r\nid: 5\nda"
+		rest   = "id: 5\nda"
+		rounds = 2000
+		seed   = 17
+	)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for range rounds {
+		var e hop.Events
+		got := ""
+		for left := stream; left != ""; {
+			n := 1 + rng.IntN(min(len(left), 1+rng.IntN(len(left))))
+			whole, err := e.Feed([]byte(left[:n]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got += string(whole)
+			left = left[n:]
+			if seen := len(stream) - len(left); len(got)+len(e.Rest()) != seen {
+				t.Fatalf("%d bytes passed on and %d kept, of %d", len(got), len(e.Rest()), seen)
+			}
+		}
+		if diff := cmp.Diff([]string{strings.TrimSuffix(stream, rest), rest, "4"}, []string{got, string(e.Rest()), e.LastID}); diff != "" {
+			t.Fatalf("events, rest and last id (-want +got):\n%s", diff)
+		}
+	}
+}
