Bound the memory that answers hold together

A hundred answers without end at once let the process grow far over the 144 MB of the smallest machine, where it is ended and all its callers lose their requests. Each answer was read whole up to 16 MB, also one that belongs to another request or to a refusal and that nobody gets; an answer that only declared a length got that much memory at once.

An answer that is passed on whole is bounded by 1 MB, the default of Envoy's buffers, since the users' pages state no bound (they show 4,800 bytes at most). All that are being read share an eighth of the process's memory (18 MB of 144), apart from 16 KB that each request may have in any case, so that large ones never keep small ones out; one that finds no memory counts as failed and may be repeated. What nobody gets is read and not kept. Memory is taken as the bytes come, for requests' bodies too. Parts of events count in the same memory.

TestMemoryOfAnswers: the memory is given back, and small answers find room.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -16,9 +16,15 @@
 )
 
 const (
-	// _maxAnswer bounds an answer that is read whole before it is passed on.
-	_maxAnswer = 16 << 20
-	_readSize  = 16 << 10
+	// _maxAnswer bounds an answer that is read whole before it is passed on, as
+	// Envoy's buffers by default.
+	_maxAnswer = 1 << 20
+	// _memoryPart is the part of the process's memory that answers which are read
+	// whole may hold together, and _memoryDefault the memory of a process that
+	// isn't told of any.
+	_memoryPart    = 8
+	_memoryDefault = 512
+	_readSize      = 16 << 10
 	// _foreignAnswers is how many answers to other requests are passed over on
 	// one connection before it is given up.
 	_foreignAnswers = 2
@@ -30,6 +36,15 @@
 	errEncoded = errors.New("answer with a coding")
 )
 
+// newMemory is the memory for answers in a process that has so many MB.
+func newMemory(processMB int) *hop.Memory {
+	if processMB == 0 {
+		processMB = _memoryDefault
+	}
+
+	return hop.NewMemory(processMB << 20 / _memoryPart)
+}
+
 // attempt is a request at one backend server.
 type attempt struct {
 	j      *job
@@ -160,7 +175,7 @@
 		if answer.ID == j.call.ID || answer.ID == "" && !answer.Sealed {
 			return head, answer, nil
 		}
-		if _, err := a.conn.ReadAll(_maxAnswer); err != nil {
+		if err := a.conn.Discard(_maxAnswer); err != nil {
 			return nil, Answer{}, err
 		}
 	}
@@ -172,7 +187,7 @@
 func (a *attempt) pass(head *hop.Head, answer Answer) (dispatch.Result, verdict, error) {
 	j, conn := a.j, a.conn
 	if answer.NotRun || answer.NotHeld {
-		_, err := conn.ReadAll(_maxAnswer)
+		err := conn.Discard(_maxAnswer)
 		a.release(err == nil && answer.ID == j.call.ID)
 		j.sent--
 		if answer.NotHeld {
@@ -199,7 +214,7 @@
 	}
 	if j.r.Begun() {
 		// The caller has the beginning of a stream, which this doesn't continue.
-		_, err := conn.ReadAll(_maxAnswer)
+		err := conn.Discard(_maxAnswer)
 		a.release(err == nil)
 
 		return dispatch.ResultError, verdictMayHaveRun, eris.Errorf("status %d in the middle of a stream", head.Status)
@@ -212,7 +227,7 @@
 // that breaks off never looks complete.
 func (a *attempt) passWhole(head *hop.Head) (dispatch.Result, verdict, error) {
 	j := a.j
-	body, err := a.conn.ReadAll(_maxAnswer)
+	body, err := a.conn.ReadAll(_maxAnswer, &j.memory)
 	if err != nil {
 		a.conn.Close()
 
@@ -266,6 +281,7 @@
 func (a *attempt) passEvents(head *hop.Head) (dispatch.Result, verdict, error) {
 	j := a.j
 	j.events.Drop()
+	j.events.Memory = &j.memory
 	buf := make([]byte, _readSize)
 	began := false
 	for {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,8 @@
 	leases  []*steward.Lease
 	steward *steward.Steward
 	servers []*hop.Server
+	// memory is what answers may hold while they are read.
+	memory *hop.Memory
 
 	current  atomic.Pointer[site.Configuration]
 	evidence evidence
@@ -134,6 +136,7 @@
 			Window: cfg.Settings.Bounds.LimitWindow,
 		}),
 		demand:  newDemandCounter(),
+		memory:  newMemory(cfg.Settings.MemoryMB),
 		pools:   map[string]*hop.Pool{},
 		rests:   map[string]*hop.Rest{},
 		needs:   map[string]time.Time{},
--- a/entry/request.go
+++ b/entry/request.go
@@ -64,6 +64,8 @@
 	// fallback is a backend server's own failure, passed on if no other
 	// answer comes.
 	fallback *wholeAnswer
+	// memory is what its answers hold.
+	memory hop.Share
 }
 
 // handle is the path of a request.
@@ -73,7 +75,11 @@
 		r:    r,
 		call: e.cfg.Dialect.Decode(r.Head),
 		cfg:  e.current.Load(),
+		memory: hop.Share{
+			Memory: e.memory,
+		},
 	}
+	defer j.memory.Free()
 	if !j.admit() {
 		return
 	}
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -329,9 +329,15 @@
 	return n, err
 }
 
-// ReadAll reads the whole body of at most limit bytes.
-func (c *Conn) ReadAll(limit int) ([]byte, error) {
-	return c.body.readAll(limit)
+// ReadAll reads the whole body of at most limit bytes into memory of share,
+// which may be nil.
+func (c *Conn) ReadAll(limit int, share *Share) ([]byte, error) {
+	return c.body.readAll(limit, share)
+}
+
+// Discard reads the rest of a body of at most limit bytes and keeps nothing.
+func (c *Conn) Discard(limit int) error {
+	return c.body.discard(limit)
 }
 
 // Length is the declared length of the body, -1 if it comes in chunks or ends
--- a/hop/backend_test.go
+++ b/hop/backend_test.go
@@ -110,7 +110,7 @@
 
 		return false
 	}
-	if _, err := c.ReadAll(100); err != nil {
+	if _, err := c.ReadAll(100, nil); err != nil {
 		c.Close()
 
 		return false
@@ -155,7 +155,7 @@
 			if _, err := c.ReadHead("POST"); err != nil {
 				t.Fatal(err)
 			}
-			if _, err := c.ReadAll(10); err != nil {
+			if _, err := c.ReadAll(10, nil); err != nil {
 				t.Fatal(err)
 			}
 			c.Release(true)
--- a/hop/body.go
+++ b/hop/body.go
@@ -19,6 +19,8 @@
 	_freeOverhead = 16
 	_maxOverhead  = 16 << 10
 	_maxHexDigits = 7
+	// _firstRead is the memory that a body's first bytes get.
+	_firstRead = 4 << 10
 )
 
 // body reads the body of a message piece by piece.
@@ -174,18 +176,30 @@
 	}
 }
 
-// readAll reads a whole body of at most limit bytes.
-func (b *body) readAll(limit int) ([]byte, error) {
+// readAll reads a whole body of at most limit bytes into memory of share, which
+// may be nil. It takes memory as the body comes, whatever its length says.
+func (b *body) readAll(limit int, share *Share) ([]byte, error) {
 	if b.done {
 		return nil, nil
 	}
 	if b.left > limit {
 		return nil, ErrBodyTooLarge
 	}
-	all := make([]byte, 0, max(b.left, 512))
+	// A byte more than may come shows that a body is over the limit.
+	most := limit + 1
+	if !b.chunked && !b.toEnd {
+		most = b.left
+	}
+	var all []byte
 	for {
 		if len(all) == cap(all) {
-			all = append(all, 0)[:len(all)]
+			size := min(max(2*len(all), _firstRead), most)
+			if err := share.take(size - cap(all)); err != nil {
+				return nil, err
+			}
+			grown := make([]byte, len(all), size)
+			copy(grown, all)
+			all = grown
 		}
 		n, err := b.next(all[len(all):cap(all)])
 		all = all[:len(all)+n]
@@ -203,3 +217,23 @@
 		}
 	}
 }
+
+// discard reads the rest of a body of at most limit bytes and keeps nothing.
+func (b *body) discard(limit int) error {
+	if b.left > limit {
+		return ErrBodyTooLarge
+	}
+	var p [512]byte
+	for total := 0; total <= limit; {
+		n, err := b.next(p[:])
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		total += n
+	}
+
+	return ErrBodyTooLarge
+}
--- a/hop/endless_test.go
+++ b/hop/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"runtime"
 	"strings"
@@ -199,7 +200,7 @@
 	if _, err := c.ReadHead("GET"); err != nil {
 		return err
 	}
-	_, err := c.ReadAll(_limitForTest)
+	_, err := c.ReadAll(_limitForTest, nil)
 
 	return err
 }
@@ -253,3 +254,48 @@
 		}
 	}
 }
+
+// TestMemoryOfAnswers guards against memory that answers take together beyond
+// their part, that isn't given back, or that large answers keep from small ones.
+func TestMemoryOfAnswers(t *testing.T) {
+	const (
+		small = 10 << 10
+		large = 500 << 10
+		all   = 1 << 20
+	)
+	memory := hop.NewMemory(all)
+	read := func(share *hop.Share, length int) error {
+		server := &endless{
+			begin: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length),
+			again: strings.Repeat("x", 100),
+		}
+		c := server.connect(t)
+		if _, err := c.ReadHead("GET"); err != nil {
+			return err
+		}
+		_, err := c.ReadAll(_limitForTest, share)
+
+		return err
+	}
+	for range 3 {
+		shares := make([]*hop.Share, 4)
+		got := make([]error, 0, len(shares))
+		for i := range shares {
+			shares[i] = &hop.Share{Memory: memory}
+			length := large
+			if i == len(shares)-1 {
+				length = small
+			}
+			got = append(got, read(shares[i], length))
+		}
+		want := []error{nil, nil, hop.ErrNoMemory, nil}
+		for i, err := range got {
+			if !errors.Is(err, want[i]) {
+				t.Errorf("answer %d: err = %v, want %v", i, err, want[i])
+			}
+		}
+		for _, s := range shares {
+			s.Free()
+		}
+	}
+}
--- a/hop/events.go
+++ b/hop/events.go
@@ -15,11 +15,16 @@
 	// LastID is the id of the last whole event, empty before the first with
 	// one.
 	LastID string
+	// Memory is where the part of an event that isn't whole is kept; nil is
+	// without bound.
+	Memory *Share
 
 	// part is what came of an event that isn't whole, behind the given bytes
 	// that the last call returned.
 	part  []byte
 	given int
+	// held is the memory that part has.
+	held int
 }
 
 // _maxEvent bounds one event: the longest line that bufio.Scanner takes by
@@ -53,10 +58,19 @@
 	return e.part[:e.given], e.checkRest()
 }
 
+// checkRest bounds what is kept.
 func (e *Events) checkRest() error {
 	if len(e.Rest()) > _maxEvent {
 		return eris.Wrap(ErrMalformed, "event too long")
 	}
+	grown := cap(e.part) - e.held
+	if grown <= 0 {
+		return nil
+	}
+	if err := e.Memory.take(grown); err != nil {
+		return err
+	}
+	e.held += grown
 
 	return nil
 }
@@ -68,7 +82,7 @@
 
 // Drop forgets the part of an event that broke off.
 func (e *Events) Drop() {
-	e.part = nil
+	e.part = e.part[:0]
 	e.given = 0
 }
 
--- a/hop/server.go
+++ b/hop/server.go
@@ -337,7 +337,7 @@
 		}
 	}
 	c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
-	content, err := b.readAll(limits.BodyBytes)
+	content, err := b.readAll(limits.BodyBytes, nil)
 	if err != nil {
 		return nil, err
 	}
