Don't wait for the rest of a refusal that drips

A worker in trouble that refused a request as not run, and whose refusal's body then came a byte at a time, held the request until its time was over; another worker would have served it at once.

Seen with TestEndlessAnswers, row "drip in a refusal" (a byte every 100 ms, two such workers, 3 s): "asked 1 times, want 2", after 3.13 s. The rest of an answer that nobody gets is now read for 250 ms at most, what a new connection may take, since it is read only to keep the connection; then the connection is closed. The row passes in 0.47 s. Proper refusals are read as before.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -187,7 +187,7 @@
 func (a *attempt) pass(head *hop.Head, answer Answer) (dispatch.Result, verdict, error) {
 	j, conn := a.j, a.conn
 	if answer.NotRun || answer.NotHeld {
-		err := conn.Discard(_maxAnswer)
+		err := a.drain()
 		a.release(err == nil && answer.ID == j.call.ID)
 		j.sent--
 		if answer.NotHeld {
@@ -214,7 +214,7 @@
 	}
 	if j.r.Begun() {
 		// The caller has the beginning of a stream, which this doesn't continue.
-		err := conn.Discard(_maxAnswer)
+		err := a.drain()
 		a.release(err == nil)
 
 		return dispatch.ResultError, verdictMayHaveRun, eris.Errorf("status %d in the middle of a stream", head.Status)
@@ -261,6 +261,25 @@
 	body   []byte
 }
 
+// drain reads the rest of an answer that nobody gets, so that the connection can
+// be used again. It waits no longer than for a new one.
+func (a *attempt) drain() error {
+	a.conn.SetDeadline(earlier(a.j.limit, time.Now().Add(_dialTimeout)))
+	if a.j.e.ending.Err() != nil {
+		a.conn.SetDeadline(time.Now())
+	}
+
+	return a.conn.Discard(_maxAnswer)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
 // release keeps the connection, out of the reach of the caller's leaving.
 func (a *attempt) release(ours bool) {
 	a.j.r.OnLeave(nil)
