Hold an answer that began and didn't end against its worker

A plain service's worker that sent heads at once and then a byte at a time, for ever, was never avoided: each of its callers got 504 at the end of the request's time, though a sound worker stood beside it.

Cause: the end of a request's time counted against a worker only if nothing of an answer had come. It now counts as a failure too if the head had come and the rest took longer than the head had. Streams are as before: their length is their callers' affair, and silence is no reason to end one.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -155,6 +155,10 @@
 func (a *attempt) noAnswer(err error) (dispatch.Result, verdict, error) {
 	if time.Until(a.j.limit) <= 0 && !a.j.r.Begun() {
 		a.j.fail(504, "Timeout")
+		if a.first > 0 && time.Since(a.sentAt) > 2*a.first {
+			// The rest of the answer took longer than its beginning.
+			return dispatch.ResultFailed, verdictDone, err
+		}
 
 		return dispatch.ResultLeft, verdictDone, err
 	}
