Check in soak that no answer is lost

The check holds, at any time, that a request which a backend server ran to a good end has its whole answer, unless the caller's time was over, its instance was killed or paused, or the link to that backend server was harmed; trouble of the store and a signal to stop or to reload excuse nothing. In runs by hand it also holds that an instance which stops doesn't close late, without an answer, what it passed on to nobody. TestPlanted has each case, and what excuses it.

--- a/soak/calls_test.go
+++ b/soak/calls_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -37,8 +39,12 @@
 	whole bool
 	// answerID is the id that the answer bore.
 	answerID string
-	// written says that the request went out whole.
-	written bool
+	// proc is the instance that it was sent to, and written when all of it had
+	// been; zero if it wasn't.
+	proc    string
+	written time.Time
+	// over says that the caller's own time was over.
+	over bool
 }
 
 // history is all calls.
@@ -65,8 +71,10 @@
 	// at is whom it asks, nil for any, and patience for how long it waits.
 	at       *process
 	patience time.Duration
-	conn     net.Conn
-	br       *bufio.Reader
+	// proc is the instance that conn leads to.
+	proc string
+	conn net.Conn
+	br   *bufio.Reader
 }
 
 // _kinds are the kinds of request with keys.
@@ -131,16 +139,19 @@
 			return call
 		}
 		c.conn = conn
+		c.proc = p.name
 		c.br = bufio.NewReader(conn)
 	}
+	call.proc = c.proc
 	_ = c.conn.SetDeadline(time.Now().Add(c.patience))
 	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
 		call.path, _host, id, c.patience.Milliseconds(), key, model, len(call.body), call.body)
 	if err == nil {
-		call.written = true
+		call.written = time.Now()
 		err = c.read(&call)
 	}
 	call.ended = time.Now()
+	call.over = errors.Is(err, os.ErrDeadlineExceeded)
 	if err != nil {
 		c.drop()
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -20,11 +20,37 @@
 	revoked time.Time
 	// woken are when paused processes went on.
 	woken []time.Time
+	// harms are the faults that excuse a lost answer, and stops the planned ends.
+	harms []harm
+	stops []stop
+}
+
+// harm is a fault of an instance, of the link to a backend server, or of all
+// instances if it names neither.
+type harm struct {
+	proc     string
+	server   string
+	from, to time.Time
+}
+
+// stop is a signal to stop, and when the process had ended.
+type stop struct {
+	proc          string
+	signal, ended time.Time
 }
 
 // _thaw is how long after a pause late orders are excused.
 const _thaw = 400 * time.Millisecond
 
+const (
+	// _contact is how long after a pause, or a harm of a link, an answer may still
+	// be lost.
+	_contact = 3 * time.Second
+	// _lossSlack is within which a process that stops may close a connection
+	// unread, after the request was written.
+	_lossSlack = 200 * time.Millisecond
+)
+
 // check returns each break of a promise, in words. Promises with a time bound
 // are checked if timed: on a machine that is busy with other things they say
 // more of it than of the program.
@@ -62,10 +88,60 @@
 	if timed {
 		out = append(out, r.checkLimit(calls)...)
 	}
+	out = append(out, r.checkLost(runs, timed)...)
 
 	return append(out, r.checkOrders(timed)...)
 }
 
+// checkLost finds requests whose connection ended without a whole answer: those
+// that a backend server ran to a good end, at any time, and at a process that
+// stops also those that weren't passed on.
+func (r *record) checkLost(runs map[string][]standin.WorkerRun, timed bool) []string {
+	var out []string
+	for _, c := range r.calls {
+		if c.whole || c.over || c.written.IsZero() || r.harmed(c, runs[c.id]) {
+			continue
+		}
+		good := slices.ContainsFunc(runs[c.id], func(run standin.WorkerRun) bool {
+			return !run.Ended.IsZero() && run.Ended.Before(c.ended)
+		})
+		if good {
+			out = append(out, fmt.Sprintf("%s: run to a good end, and its connection to %s ended with status %d and %q", c.id, c.proc, c.status, c.answer))
+
+			continue
+		}
+		if timed && len(runs[c.id]) == 0 && c.ended.Sub(c.written) > _lossSlack && r.stopping(c) {
+			out = append(out, fmt.Sprintf("%s: written to %s, which stopped, and closed %s later without an answer", c.id, c.proc, c.ended.Sub(c.written)))
+		}
+	}
+
+	return out
+}
+
+// harmed says whether a fault excuses the loss of an answer.
+func (r *record) harmed(c call, runs []standin.WorkerRun) bool {
+	return slices.ContainsFunc(r.harms, func(h harm) bool {
+		if !c.ended.After(h.from) || !c.sent.Before(h.to) {
+			return false
+		}
+		if h.server == "" {
+			return h.proc == "" || h.proc == c.proc
+		}
+
+		return slices.ContainsFunc(runs, func(run standin.WorkerRun) bool {
+			return run.Head.Header.Get("X-Expect-Instance") == h.server
+		})
+	})
+}
+
+// stopping says whether the call's process was told to stop, and hadn't yet ended,
+// when its connection ended.
+func (r *record) stopping(c call) bool {
+	return slices.ContainsFunc(r.stops, func(s stop) bool {
+		return s.proc == c.proc && c.ended.After(s.signal) && c.sent.Before(s.ended)
+	})
+}
+
 // checkAnswer finds answers that aren't the backend server's own.
 func checkAnswer(c call) []string {
 	if c.status != 200 {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -184,6 +184,39 @@
 	revoked time.Time
 	begun   time.Time
 	steps   []string
+	harms   []harm
+	stops   []stop
+}
+
+// harm plays a fault, and notes when it was.
+func (f *fleet) harm(h harm, after time.Duration, play func()) {
+	h.from = time.Now()
+	play()
+	h.to = time.Now().Add(after)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.harms = append(f.harms, h)
+}
+
+// stop tells a process to stop, and ends it if it goes on.
+func (f *fleet) stop(p *process) {
+	s := stop{
+		proc:   p.name,
+		signal: time.Now(),
+	}
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(_graceEnd):
+		f.harm(harm{proc: p.name}, 0, p.end)
+	}
+	s.ended = time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, s)
 }
 
 func newFleet(t *testing.T, instances int, grace time.Duration) *fleet {
@@ -238,6 +271,7 @@
 		Store:   f.store.Store.Platform(),
 		Via: func(address string) string {
 			link := newProxy(f.t, address)
+			link.server = id
 			f.links = append(f.links, link)
 
 			return link.address
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -33,8 +33,10 @@
 
 // proxy is a loopback link to one address that can be harmed.
 type proxy struct {
-	address  string
-	target   string
+	address string
+	target  string
+	// server is the backend server that it leads to, if any.
+	server   string
 	listener net.Listener
 	mu       sync.Mutex
 	mode     mode
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,9 @@
 	// fault lasts at most.
 	_series  = 2
 	_longest = 2500 * time.Millisecond
+	// _graceEnd is after how long a process that was told to stop is ended: over
+	// the time that it has by its settings.
+	_graceEnd = 4 * time.Second
 	// _cut is for how long one instance is cut off from the store when a key is
 	// withdrawn: longer than the bound on that.
 	_cut = _revoke + 1500*time.Millisecond
@@ -62,31 +65,27 @@
 		{
 			name: "kill " + p.name,
 			do: func(ctx context.Context) {
-				p.end()
-				hold(ctx)
-				p.start(f.t)
+				f.harm(harm{proc: p.name}, 0, func() {
+					p.end()
+					hold(ctx)
+					p.start(f.t)
+				})
 			},
 		},
 		{
 			name: "pause " + p.name,
 			do: func(ctx context.Context) {
-				p.signal(syscall.SIGSTOP)
-				hold(ctx)
-				p.signal(syscall.SIGCONT)
+				f.harm(harm{proc: p.name}, _contact, func() {
+					p.signal(syscall.SIGSTOP)
+					hold(ctx)
+					p.signal(syscall.SIGCONT)
+				})
 			},
 		},
 		{
 			name: "stop " + p.name,
-			do: func(ctx context.Context) {
-				p.signal(syscall.SIGTERM)
-				p.mu.Lock()
-				exited := p.exited
-				p.mu.Unlock()
-				select {
-				case <-exited:
-				case <-time.After(4 * time.Second):
-					p.end()
-				}
+			do: func(context.Context) {
+				f.stop(p)
 				p.start(f.t)
 			},
 		},
@@ -110,9 +109,11 @@
 		{
 			name: fmt.Sprintf("backend server %s", m),
 			do: func(ctx context.Context) {
-				link.set(m)
-				hold(ctx)
-				link.set(modePass)
+				f.harm(harm{server: link.server}, _contact, func() {
+					link.set(m)
+					hold(ctx)
+					link.set(modePass)
+				})
 			},
 		},
 		{
@@ -126,14 +127,16 @@
 		{
 			name: "kill all",
 			do: func(ctx context.Context) {
-				for _, p := range f.procs {
-					p.signal(syscall.SIGKILL)
-				}
-				hold(ctx)
-				for _, p := range f.procs {
-					p.end()
-					p.start(f.t)
-				}
+				f.harm(harm{}, 0, func() {
+					for _, p := range f.procs {
+						p.signal(syscall.SIGKILL)
+					}
+					hold(ctx)
+					for _, p := range f.procs {
+						p.end()
+						p.start(f.t)
+					}
+				})
 			},
 		},
 	}
@@ -271,6 +274,8 @@
 		calls:   h.calls,
 		orders:  map[string][]standin.WorkerOrder{},
 		revoked: f.revokedAt(),
+		harms:   f.harms,
+		stops:   f.stops,
 	}
 	for id, w := range f.workers {
 		for _, run := range w.Log() {
@@ -368,6 +373,33 @@
 			Arrived: at.Add(after),
 		}
 	}
+	lost := good
+	lost.proc, lost.written, lost.ended = "edge-0", at, at.Add(time.Second)
+	half := lost
+	half.kind, half.status, half.answer, half.answerID, half.seal = "stream", 200, "id: 1\n", "a", "seal-e-1"
+	late := lost
+	late.over = true
+	crossed := lost
+	crossed.ended = at.Add(_lossSlack / 2)
+	ran := run
+	ran.Ended = at.Add(time.Second / 2)
+	ran.Head = ran.Head.Clone(t.Context())
+	ran.Head.Header.Set("X-Expect-Instance", "w-1")
+	during := func(proc, server string) harm {
+		return harm{
+			proc:   proc,
+			server: server,
+			from:   at.Add(time.Second / 4),
+			to:     at.Add(time.Second / 2),
+		}
+	}
+	stops := func(proc string) stop {
+		return stop{
+			proc:   proc,
+			signal: at,
+			ended:  at.Add(2 * time.Second),
+		}
+	}
 	const requests = 300
 	many := make([]call, 0, requests)
 	manyRuns := make([]standin.WorkerRun, 0, requests)
@@ -438,6 +470,59 @@
 			}},
 			want: 1,
 		},
+		{
+			name:   "lost at any time",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{ran}},
+			want:   1,
+		},
+		{
+			name:   "a part at any time",
+			record: record{calls: []call{half}, runs: []standin.WorkerRun{ran}},
+			want:   1,
+		},
+		{
+			name:   "lost, and its instance was killed",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{ran}, harms: []harm{during("edge-0", "")}},
+		},
+		{
+			name:   "lost, and another was killed",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{ran}, harms: []harm{during("edge-1", "")}},
+			want:   1,
+		},
+		{
+			name:   "lost, and its backend server was cut off",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{ran}, harms: []harm{during("", "w-1")}},
+		},
+		{
+			name:   "lost, and another backend server was cut off",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{ran}, harms: []harm{during("", "w-2")}},
+			want:   1,
+		},
+		{
+			name:   "the caller's time was over",
+			record: record{calls: []call{late}, runs: []standin.WorkerRun{ran}},
+		},
+		{
+			name:   "closed, and the backend server broke off",
+			record: record{calls: []call{lost}, runs: []standin.WorkerRun{run}},
+		},
+		{
+			name:   "closed unread",
+			record: record{calls: []call{lost}},
+		},
+		{
+			name:   "closed late by an instance that stops",
+			record: record{calls: []call{lost}, stops: []stop{stops("edge-0")}},
+			want:   1,
+		},
+		{
+			name:   "closed late while another stops",
+			record: record{calls: []call{lost}, stops: []stop{stops("edge-1")}},
+		},
+		{
+			name:   "closed at once by an instance that stops",
+			record: record{calls: []call{crossed}, stops: []stop{stops("edge-0")}},
+		},
 		{
 			name: "a fence that falls",
 			record: record{orders: map[string][]standin.WorkerOrder{
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -19,9 +19,6 @@
 	_relayed = 16
 	// _grace is the users': how long a process may run after SIGTERM.
 	_grace = 8 * time.Second
-	// _lossSlack is the users': a request that wasn't passed on may cross the
-	// end of its connection for so long.
-	_lossSlack = 200 * time.Millisecond
 )
 
 // trouble is a disturbance of the store, which lasts until heal.
@@ -178,7 +175,7 @@
 	var out []string
 	for _, c := range r.calls {
 		lasted := c.ended.Sub(c.sent)
-		if !c.written || c.whole || strings.HasSuffix(c.path, "/cut") {
+		if c.written.IsZero() || c.whole || strings.HasSuffix(c.path, "/cut") {
 			continue
 		}
 		switch {
