--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -62,6 +62,13 @@
 			want: []string{"id: 1\n\n", "\r\n\r\n", "id: 2\n\n"},
 			last: "2",
 		},
+		{
+			name: "carriage returns, then line feeds",
+			give: []string{"id: 1\r\n\r\nid: 2\n\nid: 3"},
+			want: []string{"id: 1\r\n\r\nid: 2\n\n"},
+			last: "2",
+			rest: "id: 3",
+		},
 		{
 			name: "gap",
 			give: []string{"id: 1\n\n", "id: 3\n\n"},
--- a/hop/export_test.go
+++ b/hop/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"time"
 )
@@ -27,3 +28,11 @@
 		br:   bufio.NewReaderSize(nc, _backendBuffer),
 	}
 }
+
+// NewConnForTest is a connection on which an answer comes.
+func NewConnForTest(answer io.Reader) *Conn {
+	return &Conn{
+		pool: &Pool{rest: &Rest{}},
+		br:   bufio.NewReaderSize(answer, _backendBuffer),
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -69,6 +69,7 @@
 //	weights   five events in lines that end with CR LF, each in two pieces, the
 //	          third with a first line that names the weights' version
 //	slow      five events, 40 ms apart
+//	beats     five events, with empty lines after each
 //	error     a signed failure
 //	short     less than the length, then the end
 //	long      bytes after a whole answer
@@ -340,7 +341,7 @@
 	both := func(sent bool) (bool, bool) { return sent, sent }
 	const whole = "Content-Length: 5\r\n\r\nwhole"
 	switch mode {
-	case "events", "slow", "cut", "weights":
+	case "events", "slow", "beats", "cut", "weights":
 		return both(w.playEvents(c, mode, signed, last))
 	case "large":
 		return both(send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signed, LargeAnswer, strings.Repeat("large ", LargeAnswer/6)))
@@ -417,8 +418,15 @@
 		if !send(c, "%x\r\n%s\r\n", len(text), text) {
 			return false
 		}
-		if mode == "slow" {
+		switch mode {
+		case "slow":
 			time.Sleep(_workerPause)
+		case "beats":
+			// Far enough from the event to be read alone.
+			time.Sleep(_workerPause)
+			if !send(c, "2\r\n\n\n\r\n") {
+				return false
+			}
 		}
 	}
 
