End an event at an empty line of either kind

Callers would see: a stream cut, though its backend server had sent all of it, if the last event's empty line ends in CR LF and the line before it in LF; the format of events allows each line its own end. The new case of TestEvents fails before and passes after. Found by reading; no backend server known to send it.

--- a/hop/events.go
+++ b/hop/events.go
@@ -46,7 +46,7 @@
 		return p[:end], e.checkRest()
 	}
 	// The end of an event may lie on both sides.
-	from := max(len(e.part)-len("\r\n\r"), 0)
+	from := max(len(e.part)-len("\n\r"), 0)
 	e.part = append(e.part, p...)
 	if end := lastEventEnd(e.part[from:]); end > 0 {
 		e.given = from + end
@@ -89,7 +89,7 @@
 // lastEventEnd is the length of the whole events in p.
 func lastEventEnd(p []byte) int {
 	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
+	for _, blank := range []string{"\n\n", "\n\r\n"} {
 		if i := bytes.LastIndex(p, []byte(blank)); i >= 0 {
 			end = max(end, i+len(blank))
 		}
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -69,6 +69,13 @@
 			last: "2",
 			rest: "id: 3",
 		},
+		{
+			// The empty line and the one before it may end in different ways.
+			name: "line ends of both kinds",
+			give: []string{"id: 1\ndata: a\n\r\nid: 2\r\n\n", "id: 3\n\r", "\n"},
+			want: []string{"id: 1\ndata: a\n\r\nid: 2\r\n\n", "", "id: 3\n\r\n"},
+			last: "3",
+		},
 		{
 			name: "gap",
 			give: []string{"id: 1\n\n", "id: 3\n\n"},
