Count what a backend server's former start ran there

A backend server that starts again under its id while requests of its former start are still open seemed to run them for ever: its places were taken at this instance and, by the bulletins, at all others.

Cause: the number of running requests was carried over to the new start, and each request's end was taken from the former one's.

Evidence: dispatch TestRunsOfFormerStart, before: 1 running after the end of the only request; after: none.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -134,15 +134,11 @@
 	defer b.mu.Unlock()
 	s := b.servers[entry.ID]
 	if s == nil || s.entry.Born != entry.Born {
-		running := 0
-		if s != nil {
-			running = s.running
-		}
+		// What a former start ran counts there.
 		s = &server{
 			pace:    1,
 			runs:    map[*Run]struct{}{},
 			missing: map[string]time.Time{},
-			running: running,
 		}
 		b.servers[entry.ID] = s
 	}
