Read a service's engine once in each round of the steward

When a configuration took a service's engine away between two readings, the steward's goroutine ended by a panic that is only seen at the process's end: its leases were renewed, and their shards got no orders.

Evidence: steward TestEngineRemoved, before: the steward plans no more, nil pointer dereference; after: it goes on.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -391,8 +391,13 @@
 		return
 	}
 	services := map[string][]*ledger{}
+	// Read once: a new configuration may come at any moment.
+	engines := map[string]*site.Engine{}
 	for id, l := range s.servers {
-		if s.cfg.Engine(l.entry.Service) == nil || !s.shards[s.shard(&l.entry)].active {
+		if _, ok := engines[l.entry.Service]; !ok {
+			engines[l.entry.Service] = s.cfg.Engine(l.entry.Service)
+		}
+		if engines[l.entry.Service] == nil || !s.shards[s.shard(&l.entry)].active {
 			continue
 		}
 		l.down = s.cfg.Down(id)
@@ -403,7 +408,7 @@
 	}
 	for service, servers := range services {
 		slices.SortFunc(servers, func(a, b *ledger) int { return strings.Compare(a.entry.ID, b.entry.ID) })
-		e := s.cfg.Engine(service)
+		e := engines[service]
 		s.placeAdapters(service, e, servers, now)
 		s.placeModels(service, e, servers, now)
 	}
