Find how late the word of an instance's leaving reaches the others

An instance serves for 0.5 s longer than callers may keep an answer that named it, so that all others must know within 0.5 s that it leaves. A caller who is sent there too late is refused or finds no listener, and isn't read: no request is lost by it.

--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -28,6 +28,7 @@
 	addr    netip.AddrPort
 	phase   time.Duration
 	down    bool
+	leaving bool
 	running int
 	spent   float64
 	pending cause
@@ -54,6 +55,8 @@
 	byAddr  map[netip.AddrPort]*member
 	flights []flight
 	cut     func(from, to *member) bool
+	// loss is how many of the datagrams are lost.
+	loss float64
 }
 
 func newWorld(t *testing.T, seed uint64, n int) *world {
@@ -62,6 +65,7 @@
 		t:      t,
 		rng:    rand.New(rand.NewPCG(seed, 3)),
 		now:    time.Hour,
+		loss:   testLoss,
 		byAddr: map[netip.AddrPort]*member{},
 	}
 	capacities := []int{50, 144, 400, 800}
@@ -93,6 +97,7 @@
 	m.cfg.Start++
 	m.v = newView(m.cfg)
 	m.down = false
+	m.leaving = false
 	m.spent = 0
 	records := make([]wire.EntryRecord, 0, len(w.members))
 	for _, o := range w.members {
@@ -113,6 +118,7 @@
 		Start:         m.cfg.Start,
 		Address:       m.cfg.Address,
 		FailureDomain: m.cfg.FailureDomain,
+		Leaving:       m.leaving,
 		EvidenceAgeMS: -1,
 		SentMS:        int(w.now.Milliseconds()),
 		Running: []wire.ServerCount{{
@@ -184,7 +190,7 @@
 	w.flights = nil
 	for _, f := range flights {
 		to := w.byAddr[f.to]
-		if to == nil || to.down || w.rng.Float64() < testLoss || w.cut != nil && w.cut(f.from, to) {
+		if to == nil || to.down || w.rng.Float64() < w.loss || w.cut != nil && w.cut(f.from, to) {
 			continue
 		}
 		var b wire.Bulletin
