Leave the length of an answer bounded as it was

Callers would have seen: 502 in place of a sound backend server's answer of over 1 MB, which had been delivered before (16 MB).

What protects the process is the memory that all answers share, an eighth of the process's; a stated bound of one answer isn't needed for that.

Change: 16 MB again. TestKeptConnections has the memory for its twelve large answers.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// _maxAnswer bounds an answer that is read whole before it is passed on, as
-	// Envoy's buffers by default.
-	_maxAnswer = 1 << 20
+	// _maxAnswer bounds an answer that is read whole before it is passed on.
+	_maxAnswer = 16 << 20
 	// _memoryPart is the part of the process's memory that answers which are read
 	// whole may hold together, and _memoryDefault the memory of a process that
 	// isn't told of any.
--- a/hop/body.go
+++ b/hop/body.go
@@ -15,7 +15,7 @@
 	_maxTrailer = 4 << 10
 	// _freeOverhead is what may frame a chunk apart from its bytes, and
 	// _maxOverhead bounds what comes beyond that and beyond twice the bytes, over
-	// a whole body. The figures are those of net/http.
+	// a whole body.
 	_freeOverhead = 16
 	_maxOverhead  = 16 << 10
 	_maxHexDigits = 7
