Find ends without an answer also without bounds in time, and show that it does

The soak's check of ends took a request that lasted as long as callers wait for one that was given up, and looked at these only in runs by hand. Now the caller's record says whether it gave up. TestPlantedEnds has one of each kind.

--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		switch {
-		case lasted >= _patience:
+		case c.over:
 			if timed {
 				out = append(out, fmt.Sprintf("%s: %s had no answer within %s, ran %v", c.id, c.path, lasted, ran[c.id]))
 			}
@@ -192,3 +192,59 @@
 
 	return out
 }
+
+// TestPlantedEnds finds each kind of end without an answer in a record that
+// has it, and none in one that is as it should be.
+func TestPlantedEnds(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		call call
+		ran  bool
+		want int
+	}{
+		{
+			name: "answered",
+			call: call{written: at, whole: true, status: 200, ended: at.Add(time.Second)},
+			ran:  true,
+		},
+		{
+			name: "crossed the end of its connection",
+			call: call{written: at, ended: at.Add(_lossSlack / 2)},
+		},
+		{
+			name: "held, and cut",
+			call: call{written: at, ended: at.Add(2 * _lossSlack)},
+			want: 1,
+		},
+		{
+			name: "ran, and cut",
+			call: call{written: at, ended: at.Add(2 * _patience)},
+			ran:  true,
+			want: 1,
+		},
+		{
+			name: "a part of an answer",
+			call: call{written: at, status: 200, ended: at.Add(time.Second)},
+			ran:  true,
+			want: 1,
+		},
+		{
+			name: "never answered",
+			call: call{written: at, over: true, ended: at.Add(_patience)},
+			want: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.call.id, tt.call.path, tt.call.sent = "a", "/once/whole", at
+			r := record{calls: []call{tt.call}}
+			if tt.ran {
+				r.runs = []standin.WorkerRun{{ID: "a"}}
+			}
+			if got := r.checkAnswered(true); len(got) != tt.want {
+				t.Errorf("found %q, want %d", got, tt.want)
+			}
+		})
+	}
+}
