--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -205,33 +205,55 @@
 	}{
 		{
 			name: "answered",
-			call: call{written: at, whole: true, status: 200, ended: at.Add(time.Second)},
-			ran:  true,
+			call: call{
+				written: at,
+				whole:   true,
+				status:  200,
+				ended:   at.Add(time.Second),
+			},
+			ran: true,
 		},
 		{
 			name: "crossed the end of its connection",
-			call: call{written: at, ended: at.Add(_lossSlack / 2)},
+			call: call{
+				written: at,
+				ended:   at.Add(_lossSlack / 2),
+			},
 		},
 		{
 			name: "held, and cut",
-			call: call{written: at, ended: at.Add(2 * _lossSlack)},
+			call: call{
+				written: at,
+				ended:   at.Add(2 * _lossSlack),
+			},
 			want: 1,
 		},
 		{
 			name: "ran, and cut",
-			call: call{written: at, ended: at.Add(2 * _patience)},
+			call: call{
+				written: at,
+				ended:   at.Add(2 * _patience),
+			},
 			ran:  true,
 			want: 1,
 		},
 		{
 			name: "a part of an answer",
-			call: call{written: at, status: 200, ended: at.Add(time.Second)},
+			call: call{
+				written: at,
+				status:  200,
+				ended:   at.Add(time.Second),
+			},
 			ran:  true,
 			want: 1,
 		},
 		{
 			name: "never answered",
-			call: call{written: at, over: true, ended: at.Add(_patience)},
+			call: call{
+				written: at,
+				over:    true,
+				ended:   at.Add(_patience),
+			},
 			want: 1,
 		},
 	}
