--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,7 @@
 	_trimEvery = time.Second
 	// _leaveMargin is how long before the platform ends a process that was
 	// told to stop it ends itself.
-	_leaveMargin = 400 * time.Millisecond
+	_leaveMargin = 800 * time.Millisecond
 	// _maxShards bounds into how many parts, by failure domains, the backend
 	// servers are divided for the giving of orders: the loss of one steward
 	// stops no more than its part, and each may begin one load at once without
