steward: count copies known from entries, plan at ticks, make a plan cheap

Servers without a report counted as holding nothing, so 11 of 14 served models counted as unserved, and 7 copies of the busy model were unloaded for second copies of idle ones before traffic began. Shards of one steward, and stewards among each other, didn't see each other's loads: three loaded the same model. On the large site each request that waits for an adapter woke the whole planner, whose cost grew with the square of the models (it sorted all model names to scale each gain): 10 to 13 ms a plan at 194 models and 40 servers.

Change: until a report is read the models in the server's entry stand in for it; loads in progress count over shards and are told in bulletins (ServerTargets.Loading); only the first request for an adapter wakes the steward, models are planned at ticks, and ticks and plans leave ten times their own duration idle; sizes are derived once per configuration, copies that may go are listed once per plan. StewardLacking names at most four models a second, without the map of all copies.

--- a/steward/adapter.go
+++ b/steward/adapter.go
@@ -48,10 +48,13 @@
 	id      string
 	shard   int
 	targets map[string]bool
+	// loading is the model that its steward is loading, empty for none.
+	loading string
 	managed bool
 }
 
-// models returns the models that the backend server serves.
+// models returns the models that the backend server serves and the one that is
+// being loaded.
 func (f *foreignServer) models() []string {
 	var out []string
 	for text := range f.targets {
@@ -59,6 +62,9 @@
 			out = append(out, text)
 		}
 	}
+	if f.loading != "" && !f.targets[f.loading] {
+		out = append(out, f.loading)
+	}
 
 	return out
 }
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -178,6 +178,52 @@
 	unmanagedCopies map[string]int
 	// unmetShortages are the shortages for which no change is possible now.
 	unmetShortages []shortage
+	// catalog is derived from engine; it is created if nil.
+	catalog *modelCatalog
+	// accepting are the servers to which an order that changes a model can be sent
+	// now, with their free memory.
+	accepting []acceptingServer
+}
+
+// modelCatalog holds figures that depend only on an engine's configuration.
+type modelCatalog struct {
+	engine *site.Engine
+	// names are the names of the models, sorted.
+	names []string
+	// meanMB is the mean size of the models, and reserveMB the memory reserved for
+	// adapters on each engine.
+	meanMB    float64
+	reserveMB float64
+}
+
+func newModelCatalog(e *site.Engine) *modelCatalog {
+	c := &modelCatalog{
+		engine:    e,
+		names:     slices.Sorted(maps.Keys(e.Models)),
+		reserveMB: adapterReserveMB(e),
+	}
+	// In order, because the sum of floats depends on it.
+	for _, model := range c.names {
+		c.meanMB += e.Models[model].WeightsMB
+	}
+	c.meanMB /= float64(max(len(c.names), 1))
+
+	return c
+}
+
+// acceptingServer is a server that accepts orders, and its free memory.
+type acceptingServer struct {
+	*serverState
+	freeMB float64
+}
+
+// victim is a copy that may be unloaded to make room for another model. loss is
+// the cost of losing it, and roomMB the memory that is free afterwards.
+type victim struct {
+	server *serverState
+	model  string
+	loss   float64
+	roomMB float64
 }
 
 // shortage is a model for which another copy has a sufficient gain.
@@ -193,11 +239,13 @@
 		return s, true
 	}
 	copies := p.countCopies()
+	p.listAccepting()
+	victims := p.victims(copies)
 	for _, sh := range p.shortages(copies) {
 		if s, ok := p.planLoad(sh); ok {
 			return s, true
 		}
-		if s, ok := p.planSwap(sh, copies); ok {
+		if s, ok := p.planSwap(sh, copies, victims); ok {
 			return s, true
 		}
 		p.unmetShortages = append(p.unmetShortages, sh)
@@ -238,20 +286,18 @@
 				own[model]++
 			}
 		}
-		for _, pending := range []string{s.loading, s.reservedFor} {
-			if pending != "" && !s.serves(pending) {
-				own[pending]++
-
-				break
-			}
+		if pending := s.pendingModel(); pending != "" {
+			own[pending]++
 		}
 	}
-	total := map[string]int{}
+	total := make(map[string]int, len(p.engine.Models))
 	for model := range p.engine.Models {
-		counts := make([]int, p.shards)
-		copy(counts, p.shardCopies[model])
+		counts := p.shardCopies[model]
+		if counts == nil {
+			counts = make([]int, p.shards)
+			p.shardCopies[model] = counts
+		}
 		counts[p.shard] = own[model]
-		p.shardCopies[model] = counts
 		total[model] = p.unmanagedCopies[model]
 		for _, n := range counts {
 			total[model] += n
@@ -319,7 +365,7 @@
 // memory.
 func (p *planner) shortages(copies map[string]int) []shortage {
 	var out []shortage
-	for _, model := range slices.Sorted(maps.Keys(p.engine.Models)) {
+	for _, model := range p.models().names {
 		sh := shortage{
 			model:  model,
 			copies: copies[model],
@@ -344,18 +390,16 @@
 // perMemory scales a gain by the memory of a copy, relative to the mean model
 // size.
 func (p *planner) perMemory(model string, gain float64) float64 {
-	return gain * p.meanModelMB() / max(p.engine.Models[model].WeightsMB, 1)
+	return gain * p.models().meanMB / max(p.engine.Models[model].WeightsMB, 1)
 }
 
-// meanModelMB returns the mean size of the models, in MB.
-func (p *planner) meanModelMB() float64 {
-	sum := 0.0
-	// Sorted, because the sum of floats depends on the order.
-	for _, model := range slices.Sorted(maps.Keys(p.engine.Models)) {
-		sum += p.engine.Models[model].WeightsMB
+// models returns the catalog of the engine's models.
+func (p *planner) models() *modelCatalog {
+	if p.catalog == nil {
+		p.catalog = newModelCatalog(p.engine)
 	}
 
-	return sum / float64(max(len(p.engine.Models), 1))
+	return p.catalog
 }
 
 // estimate returns the demand estimate of a model, creating it if needed.
@@ -375,10 +419,23 @@
 	return s.synced && !s.entry.Draining && !s.down && !s.changingModel() && !s.inFlight && !p.now.Before(s.backoffUntil)
 }
 
-// canLoad reports whether the model can be loaded on the server now, regardless
-// of free memory.
+// listAccepting lists the servers that accept orders and are not reserved.
+func (p *planner) listAccepting() {
+	p.accepting = p.accepting[:0]
+	for _, s := range p.servers {
+		if p.acceptsOrder(s) && s.reservedFor == "" {
+			p.accepting = append(p.accepting, acceptingServer{
+				serverState: s,
+				freeMB:      s.freeBesides(p.engine, p.models().reserveMB),
+			})
+		}
+	}
+}
+
+// canLoad reports whether the model can be loaded on a server that accepts
+// orders, regardless of free memory.
 func (p *planner) canLoad(s *serverState, model string) bool {
-	return p.acceptsOrder(s) && s.reservedFor == "" && !s.serves(model) && (s.localWeights[model] || p.coldLoadAllowed)
+	return !s.serves(model) && (p.coldLoadAllowed || s.localWeights[model])
 }
 
 // planLoad selects a server with enough free memory for the model. It prefers
@@ -387,16 +444,17 @@
 func (p *planner) planLoad(sh shortage) (modelChange, bool) {
 	var best *serverState
 	bestScore := math.Inf(-1)
-	for _, s := range p.servers {
-		if !p.canLoad(s, sh.model) || s.freeMB(p.engine) < p.engine.Models[sh.model].WeightsMB {
+	need := p.engine.Models[sh.model].WeightsMB
+	for _, s := range p.accepting {
+		if s.freeMB < need || !p.canLoad(s.serverState, sh.model) {
 			continue
 		}
-		score := s.freeMB(p.engine)/p.engine.WeightsMB - p.copiesInDomain(sh.model, s.entry.FailureDomain)
+		score := s.freeMB/p.engine.WeightsMB - p.copiesInDomain(sh.model, s.entry.FailureDomain)
 		if s.localWeights[sh.model] {
 			score += 10
 		}
 		if score > bestScore {
-			best = s
+			best = s.serverState
 			bestScore = score
 		}
 	}
@@ -425,36 +483,55 @@
 	return n
 }
 
+// victims lists the copies that have been loaded for at least _minResidency, on
+// servers that accept orders.
+func (p *planner) victims(copies map[string]int) []victim {
+	var out []victim
+	for _, s := range p.accepting {
+		for _, model := range slices.Sorted(maps.Keys(s.adapters)) {
+			if p.now.Sub(s.loadedAt[model]) < _minResidency {
+				continue
+			}
+			out = append(out, victim{
+				server: s.serverState,
+				model:  model,
+				loss:   p.perMemory(model, p.estimate(model).gain(copies[model]-1, p.engine.Slots, p.now)),
+				roomMB: s.freeMB + p.engine.Models[model].WeightsMB,
+			})
+		}
+	}
+
+	return out
+}
+
 // planSwap selects the copy with the smallest loss whose unload frees enough
 // memory for the model, if the model's gain is sufficiently larger than the
 // loss.
-func (p *planner) planSwap(sh shortage, copies map[string]int) (modelChange, bool) {
+func (p *planner) planSwap(sh shortage, copies map[string]int, victims []victim) (modelChange, bool) {
+	if sh.gain <= _swapBase {
+		return modelChange{}, false
+	}
 	var best modelChange
 	bestLoss := math.Inf(1)
 	need := p.engine.Models[sh.model].WeightsMB
-	for _, s := range p.servers {
-		if !p.canLoad(s, sh.model) {
+	for _, v := range victims {
+		loss := v.loss
+		if v.server.localWeights[sh.model] {
+			loss *= _localWeightsFactor
+		}
+		// Of equal losses, unload the model with the most copies.
+		if loss > bestLoss || loss == bestLoss && copies[v.model] <= copies[best.model] {
 			continue
 		}
-		for _, victim := range slices.Sorted(maps.Keys(s.adapters)) {
-			if !p.canUnload(victim, sh, copies) || p.now.Sub(s.loadedAt[victim]) < _minResidency ||
-				s.freeMB(p.engine)+p.engine.Models[victim].WeightsMB < need {
-				continue
-			}
-			loss := p.perMemory(victim, p.estimate(victim).gain(copies[victim]-1, p.engine.Slots, p.now))
-			if s.localWeights[sh.model] {
-				loss *= _localWeightsFactor
-			}
-			// Of equal losses, unload the model with the most copies.
-			if loss < bestLoss || loss == bestLoss && copies[victim] > copies[best.model] {
-				bestLoss = loss
-				best = modelChange{
-					server:      s,
-					model:       victim,
-					reservedFor: sh.model,
-					reason:      "RoomFor " + sh.model,
-				}
-			}
+		if v.roomMB < need || !p.canLoad(v.server, sh.model) || !p.canUnload(v.model, sh, copies) {
+			continue
+		}
+		bestLoss = loss
+		best = modelChange{
+			server:      v.server,
+			model:       v.model,
+			reservedFor: sh.model,
+			reason:      "RoomFor " + sh.model,
 		}
 	}
 
--- a/steward/server.go
+++ b/steward/server.go
@@ -18,6 +18,9 @@
 	// steward or the backend server started. While it is unset, no orders are
 	// sent.
 	synced bool
+	// reported is set once a report was read since this instance became the steward.
+	// Until then adapters is taken from the entry.
+	reported bool
 	// adapters holds the loaded adapters by model. A loaded model without
 	// adapters has an empty entry.
 	adapters map[string]map[string]bool
@@ -53,7 +56,7 @@
 func newServerState(entry site.BackendServer) *serverState {
 	return &serverState{
 		entry:        entry,
-		adapters:     map[string]map[string]bool{},
+		adapters:     entryModels(entry),
 		pending:      map[site.Target]bool{},
 		loadedAt:     map[string]time.Time{},
 		usedAt:       map[site.Target]time.Time{},
@@ -61,6 +64,18 @@
 	}
 }
 
+// entryModels returns the models in a backend server's entry, without their
+// adapters. They stand in for a report that has not been read yet: a model that
+// other servers serve must not count as unserved.
+func entryModels(entry site.BackendServer) map[string]map[string]bool {
+	out := make(map[string]map[string]bool, len(entry.Models))
+	for _, h := range entry.Models {
+		out[h.Model] = map[string]bool{}
+	}
+
+	return out
+}
+
 // changingModel reports whether a model is being loaded or unloaded.
 func (s *serverState) changingModel() bool {
 	return s.loading != "" || s.unloading != ""
@@ -92,6 +107,29 @@
 	return out
 }
 
+// pendingModel returns the model that is being loaded, or for which another one
+// was unloaded; empty for none.
+func (s *serverState) pendingModel() string {
+	for _, model := range []string{s.loading, s.reservedFor} {
+		if model != "" && !s.serves(model) {
+			return model
+		}
+	}
+
+	return ""
+}
+
+// plannedModels returns the models that the backend server serves and the one that
+// is being loaded.
+func (s *serverState) plannedModels() []string {
+	out := s.servedModels()
+	if model := s.pendingModel(); model != "" {
+		out = append(out, model)
+	}
+
+	return out
+}
+
 // adapterCount returns the number of occupied adapter slots.
 func (s *serverState) adapterCount() int {
 	n := 0
@@ -106,7 +144,12 @@
 // loaded, being loaded or not yet unloaded count as occupied, and so do all
 // adapter slots, each at the size of the largest adapter.
 func (s *serverState) freeMB(e *site.Engine) float64 {
-	free := e.WeightsMB - adapterReserveMB(e)
+	return s.freeBesides(e, adapterReserveMB(e))
+}
+
+// freeBesides is freeMB for a reserve that was computed before.
+func (s *serverState) freeBesides(e *site.Engine, reserveMB float64) float64 {
+	free := e.WeightsMB - reserveMB
 	for model := range s.adapters {
 		free -= e.Models[model].WeightsMB
 	}
@@ -160,6 +203,7 @@
 // last order.
 func (s *serverState) applyReport(r site.Report) {
 	s.synced = true
+	s.reported = true
 	s.acceptedOrders = r.Orders
 	loaded := map[string]map[string]bool{}
 	for _, h := range r.Models {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -47,12 +47,23 @@
 	// models. It lets reports and the bulletins of other stewards arrive first.
 	_planningDelay = time.Second
 	// _unmetLogInterval is the minimum interval between log lines about demand
-	// that can't be met.
+	// that can't be met, and _maxUnmetLogged the number of models that are logged
+	// each time, those with the highest gain.
 	_unmetLogInterval = time.Second
+	_maxUnmetLogged   = 4
+	// _minWakeInterval is the minimum time between two searches for adapters. It is
+	// about the time that loading one takes.
+	_minWakeInterval = 5 * time.Millisecond
+	// _idleFactor is the minimum time between two ticks, or between two plans, as a
+	// multiple of the duration of the last one. It bounds the share of the processor
+	// that they use on slow machines.
+	_idleFactor = 10
 	// _loadBurst is the number of loads from the weight store that one shard
-	// may start at once, and _loadRateShare the fraction of the store's rate
-	// limit that all shards use together.
+	// may start at once, or those of _loadBurstTime if that is more.
+	// _loadRateShare is the fraction of the store's rate limit that all shards use
+	// together.
 	_loadBurst     = 1.0
+	_loadBurstTime = 250 * time.Millisecond
 	_loadRateShare = 0.9
 	// _maxChangesPerTick limits the model changes that one tick starts in a
 	// shard.
@@ -133,10 +144,11 @@
 }
 
 // foreignTargets are the targets of a backend server that another steward
-// reported.
+// reported, and the model that it is loading there.
 type foreignTargets struct {
 	at      time.Time
 	targets map[string]bool
+	loading string
 }
 
 // Steward sends orders to the backend servers of the shards whose leases this
@@ -149,7 +161,11 @@
 	foreign   map[string]foreignTargets
 	demands   map[string]map[string]*demandEstimate
 	requested map[site.Target]targetRequest
-	wake      chan struct{}
+	// catalogs are derived from the engines by service.
+	catalogs map[string]*modelCatalog
+	// nextPlanAt is the time before which no models are planned.
+	nextPlanAt time.Time
+	wake       chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
@@ -172,24 +188,31 @@
 
 // New returns a running Steward. Close stops it.
 func New(cfg Config) *Steward {
+	s := newSteward(cfg)
+	for _, l := range cfg.Leases {
+		s.wg.Go(func() { s.maintainLease(l) })
+	}
+	s.wg.Go(s.run)
+
+	return s
+}
+
+// newSteward returns a Steward without goroutines.
+func newSteward(cfg Config) *Steward {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Steward{
+
+	return &Steward{
 		cfg:       cfg,
 		shards:    make([]shardState, len(cfg.Leases)),
 		servers:   map[string]*serverState{},
 		foreign:   map[string]foreignTargets{},
 		demands:   map[string]map[string]*demandEstimate{},
 		requested: map[site.Target]targetRequest{},
+		catalogs:  map[string]*modelCatalog{},
 		wake:      make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
-	for _, l := range cfg.Leases {
-		s.wg.Go(func() { s.maintainLease(l) })
-	}
-	s.wg.Go(s.run)
-
-	return s
 }
 
 // Close stops the steward, waits for its goroutines and releases the leases. It
@@ -228,6 +251,7 @@
 		view := foreignTargets{
 			at:      now,
 			targets: make(map[string]bool, len(server.Targets)),
+			loading: server.Loading,
 		}
 		for _, t := range server.Targets {
 			view.targets[t] = true
@@ -255,6 +279,9 @@
 		s.servers[entry.ID] = srv
 	}
 	srv.entry = entry
+	if !srv.reported {
+		srv.adapters = entryModels(entry)
+	}
 }
 
 // RemoveServer removes a backend server.
@@ -313,11 +340,13 @@
 	}
 }
 
-// RequestTarget asks the steward to load a target that requests wait for.
+// RequestTarget asks the steward to load a target that requests wait for. Only
+// the first request for an adapter wakes the steward; what can't be loaded then
+// is tried again at each tick.
 func (s *Steward) RequestTarget(service string, t site.Target, now time.Time) {
 	s.mu.Lock()
-	req, ok := s.requested[t]
-	if !ok {
+	req, known := s.requested[t]
+	if !known {
 		req = targetRequest{
 			service: service,
 			firstAt: now,
@@ -326,6 +355,9 @@
 	req.lastAt = now
 	s.requested[t] = req
 	s.mu.Unlock()
+	if known || t.Adapter == "" {
+		return
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -359,6 +391,7 @@
 			targets = append(targets, wire.ServerTargets{
 				Server:  id,
 				Targets: srv.servedTargets(),
+				Loading: srv.pendingModel(),
 			})
 		}
 	}
@@ -381,19 +414,29 @@
 	ticker := time.NewTicker(_tickInterval)
 	defer ticker.Stop()
 	for {
+		plan := false
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
+			plan = true
 		case <-s.wake:
 		}
-		s.tick(time.Now())
+		began := time.Now()
+		s.tick(began, plan)
+		// Requests that arrive meanwhile are handled together.
+		idle := time.NewTimer(max(_minWakeInterval, _idleFactor*time.Since(began)))
+		select {
+		case <-s.ctx.Done():
+		case <-idle.C:
+		}
+		idle.Stop()
 	}
 }
 
-// tick updates the active shards and starts all orders and report reads that
-// are due.
-func (s *Steward) tick(now time.Time) {
+// tick updates the active shards and starts the loads of adapters and the report
+// reads that are due. If plan is set, it also starts changes of models.
+func (s *Steward) tick(now time.Time, plan bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	anyActive := false
@@ -404,6 +447,7 @@
 			s.setShardActive(i, allowed, now)
 		}
 	}
+	s.dropRequests(now)
 	if !anyActive {
 		return
 	}
@@ -424,11 +468,26 @@
 			s.startTask(srv, s.readReport)
 		}
 	}
+	plan = plan && !now.Before(s.nextPlanAt)
 	for service, servers := range services {
 		slices.SortFunc(servers, func(a, b *serverState) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 		e := engines[service]
-		s.placeAdapters(service, e, servers, now)
-		s.placeModels(service, e, servers, now)
+		foreign := s.foreignServers(service, now)
+		s.placeAdapters(service, e, servers, foreign, now)
+		if plan {
+			began := time.Now()
+			s.placeModels(service, e, servers, foreign, now)
+			s.nextPlanAt = now.Add(_idleFactor * time.Since(began))
+		}
+	}
+}
+
+// dropRequests removes the requested targets that are no longer waited for.
+func (s *Steward) dropRequests(now time.Time) {
+	for t, req := range s.requested {
+		if now.Sub(req.lastAt) > _requestTTL {
+			delete(s.requested, t)
+		}
 	}
 }
 
@@ -444,6 +503,8 @@
 	for _, srv := range s.servers {
 		if s.shardOf(&srv.entry) == shard {
 			srv.synced = false
+			srv.reported = false
+			srv.adapters = entryModels(srv.entry)
 			srv.loading = ""
 			srv.unloading = ""
 			srv.reservedFor = ""
@@ -466,6 +527,7 @@
 		}
 		if view, ok := s.foreign[id]; ok && now.Sub(view.at) <= _foreignTTL {
 			f.targets = view.targets
+			f.loading = view.loading
 			f.managed = true
 		} else {
 			f.targets = make(map[string]bool, len(srv.entry.Models))
@@ -492,26 +554,22 @@
 }
 
 // placeAdapters starts the loads of the requested adapters of a service.
-func (s *Steward) placeAdapters(service string, e *site.Engine, servers []*serverState, now time.Time) {
+func (s *Steward) placeAdapters(service string, e *site.Engine, servers []*serverState, foreign []foreignServer, now time.Time) {
 	changes := map[*serverState][]adapterChange{}
 	search := adapterSearch{
 		engine:   e,
 		own:      servers,
-		foreign:  s.foreignServers(service, now),
+		foreign:  foreign,
 		reserved: map[*serverState]int{},
 		now:      now,
 	}
 	for t, req := range s.requested {
-		if now.Sub(req.lastAt) > _requestTTL {
-			delete(s.requested, t)
-
-			continue
-		}
 		if req.service != service || t.Adapter == "" || e.Models[t.Model].Name == "" {
 			continue
 		}
+		text := t.String()
 		if slices.ContainsFunc(servers, func(srv *serverState) bool { return !srv.entry.Draining && srv.synced && srv.hasTarget(t) }) ||
-			slices.ContainsFunc(search.foreign, func(f foreignServer) bool { return f.targets[t.String()] }) {
+			slices.ContainsFunc(foreign, func(f foreignServer) bool { return f.targets[text] }) {
 			delete(s.requested, t)
 
 			continue
@@ -618,11 +676,13 @@
 }
 
 // placeModels starts the model changes of a service in each active shard.
-func (s *Steward) placeModels(service string, e *site.Engine, servers []*serverState, now time.Time) {
+func (s *Steward) placeModels(service string, e *site.Engine, servers []*serverState, foreign []foreignServer, now time.Time) {
 	if s.demands[service] == nil {
 		s.demands[service] = map[string]*demandEstimate{}
 	}
-	foreign := s.foreignServers(service, now)
+	if s.catalogs[service] == nil || s.catalogs[service].engine != e {
+		s.catalogs[service] = newModelCatalog(e)
+	}
 	managed := s.managedShards(foreign)
 	for shard := range s.shards {
 		state := &s.shards[shard]
@@ -630,13 +690,14 @@
 			continue
 		}
 		perSecond := e.LoadsPerSecond * _loadRateShare / float64(len(managed))
-		state.loadTokens = min(state.loadTokens+perSecond*now.Sub(state.refilledAt).Seconds(), _loadBurst)
+		state.loadTokens = min(state.loadTokens+perSecond*now.Sub(state.refilledAt).Seconds(), max(_loadBurst, perSecond*_loadBurstTime.Seconds()))
 		state.refilledAt = now
 		if now.Before(state.planAfter) {
 			continue
 		}
 		p := planner{
 			engine:          e,
+			catalog:         s.catalogs[service],
 			demands:         s.demands[service],
 			now:             now,
 			shard:           slices.Index(managed, shard),
@@ -648,7 +709,7 @@
 			if s.shardOf(&srv.entry) == shard {
 				p.servers = append(p.servers, srv)
 			} else if !srv.entry.Draining && !srv.down {
-				p.addCopies(slices.Index(managed, s.shardOf(&srv.entry)), srv.servedModels())
+				p.addCopies(slices.Index(managed, s.shardOf(&srv.entry)), srv.plannedModels())
 			}
 		}
 		for _, f := range foreign {
@@ -720,18 +781,13 @@
 		return
 	}
 	shard.unmetLoggedAt = p.now
-	copies := map[string]int{}
-	for _, srv := range p.servers {
-		for model := range srv.adapters {
-			copies[model]++
-		}
-	}
-	for _, sh := range p.unmetShortages {
+	for _, sh := range p.unmetShortages[:min(len(p.unmetShortages), _maxUnmetLogged)] {
 		if sh.gain < _swapBase {
 			continue
 		}
 		s.cfg.Log.Write(event.StewardLacking, zap.Int("Shard", p.shard), zap.String("Model", sh.model), zap.Int("Copies", sh.copies),
-			zap.Float64("Gain", sh.gain), zap.Float64("Requests", p.estimate(sh.model).requests), zap.Bool("MayLoad", p.coldLoadAllowed), zap.Any("Held", copies))
+			zap.Float64("Gain", sh.gain), zap.Float64("Requests", p.estimate(sh.model).requests), zap.Bool("MayLoad", p.coldLoadAllowed),
+			zap.Int("Unmet", len(p.unmetShortages)))
 	}
 }
 
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -151,6 +151,10 @@
 }
 
 type ServerTargets struct {
+	// Loading is the model that is being loaded or for which memory is being freed,
+	// empty for none.
+	Loading string `json:"Loading"`
+
 	// Server is the backend server's id.
 	Server string `json:"Server"`
 
