--- a/steward/steward.go
+++ b/steward/steward.go
@@ -166,10 +166,10 @@
 	// nextPlanAt is the time before which no models are planned.
 	nextPlanAt time.Time
 	wake       chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wg        conc.WaitGroup
-	closeOnce sync.Once
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         conc.WaitGroup
+	closeOnce  sync.Once
 }
 
 // shardState is the state of one shard on this instance.
