exchange: MessagePack, held targets as changes, one relay's aggregate; idle models yield

Causes and changes: - An instance decodes ten aggregates a second, of all members and all held targets, in JSON, half of them from the standby relay. Bulletins are MessagePack by code generated from the schema; relays send the targets of servers where they changed, and all each second; a standby sends its aggregate only to members that don't acknowledge the active relay, the others get an empty note each 0.4 s. Models not asked for in 30 s cost less; before there is demand a model keeps half of the copies it was found with. Three cases in TestPlannerNext; the first failed before.

--- a/exchange/foreign_test.go
+++ b/exchange/foreign_test.go
@@ -1,16 +1,19 @@
 package exchange
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/klauspost/compress/s2"
+	"github.com/tinylib/msgp/msgp"
 
 	"papayastair.dev/papayastair/wire"
 )
 
-// malformedBulletins are JSON payloads that no instance sends: malformed,
-// incomplete or with extreme values.
+// malformedBulletins are payloads that no instance sends, in JSON: incomplete or
+// with extreme values.
 var malformedBulletins = []string{
 	`null`,
 	`[]`,
@@ -27,12 +30,56 @@
 	"{\"Name\":\"\xff\",\"Address\":\"10.0.0.1:1\"}",
 }
 
+// payloadOf returns a JSON payload in the encoding of bulletins.
+func payloadOf(t testing.TB, text string) []byte {
+	t.Helper()
+	d := json.NewDecoder(strings.NewReader(text))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		t.Fatal(err)
+	}
+	payload, err := msgp.AppendIntf(nil, numbers(v))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return payload
+}
+
+// numbers replaces the numbers of a decoded JSON value by integers or floats.
+func numbers(v any) any {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, element := range v {
+			v[k] = numbers(element)
+		}
+	case []any:
+		for i, element := range v {
+			v[i] = numbers(element)
+		}
+	case json.Number:
+		if n, err := v.Int64(); err == nil {
+			return n
+		}
+		f, _ := v.Float64()
+
+		return f
+	}
+
+	return v
+}
+
 // FuzzBulletin feeds arbitrary datagrams to the members of a small mesh and of
 // a group with relays. A panic would stop the process or its receiver.
 func FuzzBulletin(f *testing.F) {
 	for _, text := range malformedBulletins {
+		f.Add(s2.EncodeBetter(nil, payloadOf(f, text)))
 		f.Add(s2.EncodeBetter(nil, []byte(text)))
 	}
+	// Headers of an array and of a map that announce far more than follows.
+	f.Add(s2.EncodeBetter(nil, []byte("\x81\xa7Running\xdd\xff\xff\xff\xff\x80")))
+	f.Add(s2.EncodeBetter(nil, []byte("\xdf\xff\xff\xff\xff\xa4Name\xa1x")))
 	f.Add([]byte("\xff\xff\xff\xff\x7f"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b, err := decode(data)
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -19,7 +19,6 @@
 package exchange
 
 import (
-	"encoding/json"
 	"errors"
 	"net"
 	"sync"
@@ -288,8 +287,7 @@
 	if len(o.to) == 0 {
 		return
 	}
-	payload, err := json.Marshal(o.b)
-	data := s2.EncodeBetter(nil, payload)
+	data, err := encode(o.b)
 	if err != nil || len(data) > _maxDatagramSize {
 		h.cfg.Log.Write(event.BulletinRefused, zap.String("From", h.cfg.Name), zap.Int("Bytes", len(data)), zap.Error(err))
 
@@ -323,8 +321,19 @@
 	}
 }
 
-// decode parses a datagram: JSON compressed with S2, because names and keys
+// encode returns the datagram of a bulletin: MessagePack, which is decoded several
+// times a second by each instance, compressed with S2, because names and keys
 // repeat and traffic between failure domains is expensive.
+func encode(b *wire.Bulletin) ([]byte, error) {
+	payload, err := b.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return s2.EncodeBetter(nil, payload), nil
+}
+
+// decode parses a datagram. Fields that it doesn't know are skipped.
 func decode(data []byte) (*wire.Bulletin, error) {
 	if n, err := s2.DecodedLen(data); err != nil || n > _maxDecodedSize {
 		return nil, eris.Errorf("exchange: datagram of %d bytes: decoded length %d: %v", len(data), n, err)
@@ -334,7 +343,7 @@
 		return nil, eris.Wrap(err, "exchange: decompress datagram")
 	}
 	b := &wire.Bulletin{}
-	if err := json.Unmarshal(payload, b); err != nil {
+	if _, err := b.UnmarshalMsg(payload); err != nil {
 		return nil, eris.Wrap(err, "exchange: unmarshal bulletin")
 	}
 
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"papayastair.dev/papayastair/wire"
@@ -368,24 +369,42 @@
 }
 
 // answerNeeds returns the held targets, addressed directly to the instances
-// that requested targets recently.
+// that requested targets recently: those of the backend servers that serve a
+// requested target, and those that have changed since the last answer.
 func (v *view) answerNeeds(own *wire.Bulletin, now time.Duration) []outgoing {
-	if len(own.Held) == 0 {
-		return nil
-	}
 	o := outgoing{b: v.newBulletin(own, _scopeNote)}
 	o.b.Changes = wire.ServerChanges{}
 	o.b.Shards = own.Shards
-	o.b.Held = own.Held
+	needed := map[string]bool{}
 	for _, p := range v.peers {
 		if p.needs && now-p.needsAt <= _needsReplyWindow {
 			o.to = append(o.to, p.addr)
+			for _, text := range p.needsTexts {
+				_, target, _ := strings.Cut(text, "|")
+				needed[target] = true
+			}
+		}
+	}
+	serves := func(h wire.ServerTargets) bool {
+		return slices.ContainsFunc(h.Targets, func(t string) bool { return needed[t] })
+	}
+	for _, h := range own.Held {
+		if !equalTargets(v.heldNoted[h.Server], h) || serves(h) {
+			o.b.Held = append(o.b.Held, h)
 		}
+		v.heldNoted[h.Server] = h
+	}
+	if len(o.to) == 0 || len(o.b.Held) == 0 {
+		return nil
 	}
 
 	return []outgoing{o}
 }
 
+func equalTargets(a, b wire.ServerTargets) bool {
+	return a.Server == b.Server && a.Loading == b.Loading && slices.Equal(a.Targets, b.Targets)
+}
+
 // reportStandby returns a bulletin from an instance that is not the active
 // relay. If the instance is a standby relay, the bulletin carries its own count
 // of the amounts spent by its group to the relays of other groups, so that they
@@ -441,15 +460,22 @@
 }
 
 // reportToMembers returns the aggregate of all instances, addressed to the
-// members that report to this one. Only stewards receive the demand.
+// members that report to this one. Only stewards receive the demand. A standby
+// relay sends it to the members that no longer hear the active one, and from
+// time to time an empty note to the others.
 func (v *view) reportToMembers(own *wire.Bulletin, topo topology, periodic bool, now time.Duration) []outgoing {
-	var others, stewards []netip.AddrPort
+	var others, stewards, noted []netip.AddrPort
 	all := v.newBulletin(own, _scopeAll)
 	for _, name := range slices.Sorted(maps.Keys(v.peers)) {
 		p := v.peers[name]
 		if !p.own.fresh(now) {
 			continue
 		}
+		if !topo.isActive && hears(p.own, topo.activeRelay, now) {
+			noted = append(noted, p.addr)
+
+			continue
+		}
 		all.Heard = v.acknowledgeIncluded(all.Heard, name, now)
 		if len(p.own.bulletin.Shards) > 0 {
 			stewards = append(stewards, p.addr)
@@ -457,21 +483,29 @@
 			others = append(others, p.addr)
 		}
 	}
+	var out []outgoing
+	if periodic && len(noted) > 0 && now-v.standbyNotedAt >= _standbyNoteInterval {
+		v.standbyNotedAt = now
+		note := v.newBulletin(own, _scopeNote)
+		note.Changes = wire.ServerChanges{}
+		out = append(out, outgoing{
+			b:  note,
+			to: noted,
+		})
+	}
 	if len(others)+len(stewards) == 0 {
-		return nil
+		return out
 	}
 	sum := v.sumOthers(topo, now)
 	sum.add(own, 1)
 	sum.addState(own, 0)
 	sum.fill(all, false)
 	all.Asked = sum.workspaceRates(v.othersSpent.totalWith(own))
-	if !v.heldDue(all.Held, periodic, now) {
-		all.Held = nil
-	}
-	out := []outgoing{{
+	all.Held = v.heldDue(all.Held, periodic, now)
+	out = append(out, outgoing{
 		b:  all,
 		to: others,
-	}}
+	})
 	if len(stewards) > 0 {
 		full := *all
 		sum.fill(&full, true)
@@ -485,6 +519,18 @@
 	return out
 }
 
+// hears reports whether a member's bulletin acknowledges a recent one of the
+// relay.
+func hears(own receivedBulletin, relay string, now time.Duration) bool {
+	for _, heard := range own.bulletin.Heard {
+		if heard.Name == relay {
+			return time.Duration(heard.HeldMS)*time.Millisecond+now-own.receivedAt <= _relayAckAge
+		}
+	}
+
+	return false
+}
+
 // acknowledgeIncluded appends an acknowledgement of the own bulletin of a
 // member that is included in the aggregate.
 func (v *view) acknowledgeIncluded(list []wire.HeardBulletin, name string, now time.Duration) []wire.HeardBulletin {
@@ -497,24 +543,24 @@
 	})
 }
 
-// heldDue reports whether the held targets have to be sent, because they have
-// changed or, in a periodic round, because _heldResendInterval has elapsed. If
-// so, it records them as sent.
-func (v *view) heldDue(held []wire.ServerTargets, periodic bool, now time.Duration) bool {
-	changed := len(held) != len(v.heldSent)
-	for _, h := range held {
-		changed = changed || !slices.Equal(v.heldSent[h.Server], h.Targets)
-	}
-	if !changed && (!periodic || now-v.heldSentAt < _heldResendInterval) {
-		return false
+// heldDue returns the held targets that have to be sent to members, and records
+// them as sent: those of the backend servers where they have changed, or all in a
+// periodic round when _heldResendInterval has elapsed.
+func (v *view) heldDue(held []wire.ServerTargets, periodic bool, now time.Duration) []wire.ServerTargets {
+	all := periodic && now-v.heldSentAt >= _heldResendInterval
+	if all {
+		v.heldSentAt = now
+		clear(v.heldSent)
 	}
-	v.heldSentAt = now
-	v.heldSent = make(map[string][]string, len(held))
+	var due []wire.ServerTargets
 	for _, h := range held {
-		v.heldSent[h.Server] = h.Targets
+		if all || !equalTargets(v.heldSent[h.Server], h) {
+			due = append(due, h)
+			v.heldSent[h.Server] = h
+		}
 	}
 
-	return true
+	return due
 }
 
 // reportToGroups returns the aggregate of this instance's group, addressed to
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -49,7 +48,7 @@
 
 // simulation runs instances in virtual time over links that lose datagrams.
 type simulation struct {
-	t        *testing.T
+	t        testing.TB
 	rng      *rand.Rand
 	now      time.Duration
 	members  []*member
@@ -60,7 +59,7 @@
 	loss float64
 }
 
-func newSimulation(t *testing.T, seed uint64, n int) *simulation {
+func newSimulation(t testing.TB, seed uint64, n int) *simulation {
 	t.Helper()
 	sim := &simulation{
 		t:      t,
@@ -166,7 +165,7 @@
 	trig := m.pending
 	m.pending = trigger{}
 	for _, o := range m.v.relayBulletins(own, trig, sim.now) {
-		data, err := json.Marshal(o.b)
+		data, err := encode(o.b)
 		if err != nil {
 			sim.t.Fatal(err)
 		}
@@ -194,15 +193,15 @@
 		if to == nil || to.down || sim.rng.Float64() < sim.loss || sim.cut != nil && sim.cut(f.from, to) {
 			continue
 		}
-		var b wire.Bulletin
-		if err := json.Unmarshal(f.data, &b); err != nil {
+		b, err := decode(f.data)
+		if err != nil {
 			sim.t.Fatal(err)
 		}
 		to.received++
-		if _, ok := to.v.apply(&b, sim.now); !ok {
+		if _, ok := to.v.apply(b, sim.now); !ok {
 			continue
 		}
-		sum, trig := to.v.handleRelayed(&b, sim.now)
+		sum, trig := to.v.handleRelayed(b, sim.now)
 		to.pending.merge(trig)
 		if sum != nil {
 			to.sums = *sum
--- a/exchange/sums.go
+++ b/exchange/sums.go
@@ -22,7 +22,7 @@
 	members map[string]bool
 	needs   map[string]bool
 	shards  map[int]wire.StewardShard
-	held    map[string][]string
+	held    map[string]wire.ServerTargets
 }
 
 type demandKey struct {
@@ -38,7 +38,7 @@
 		members: map[string]bool{},
 		needs:   map[string]bool{},
 		shards:  map[int]wire.StewardShard{},
-		held:    map[string][]string{},
+		held:    map[string]wire.ServerTargets{},
 	}
 }
 
@@ -93,7 +93,7 @@
 		}
 	}
 	for _, h := range b.Held {
-		t.held[h.Server] = h.Targets
+		t.held[h.Server] = h
 	}
 }
 
@@ -136,10 +136,7 @@
 	}
 	b.Held = nil
 	for _, id := range slices.Sorted(maps.Keys(t.held)) {
-		b.Held = append(b.Held, wire.ServerTargets{
-			Server:  id,
-			Targets: t.held[id],
-		})
+		b.Held = append(b.Held, t.held[id])
 	}
 }
 
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -41,6 +41,13 @@
 	// _heldResendInterval is the time after which relays send the targets held by
 	// the backend servers again although they have not changed.
 	_heldResendInterval = time.Second
+	// _relayAckAge is the maximum age of a member's acknowledgement of its active
+	// relay at which the standby sends it no aggregates. It is below _relayTimeout,
+	// so that the standby's aggregate arrives before the member needs it.
+	_relayAckAge = 600 * time.Millisecond
+	// _standbyNoteInterval is the time between notes from a standby relay to members
+	// that get no aggregates from it. They show that it is alive.
+	_standbyNoteInterval = 400 * time.Millisecond
 	// _maxSentBulletins is the number of own bulletins kept in order to subtract
 	// them from the aggregates of relays.
 	_maxSentBulletins = 24
@@ -76,9 +83,10 @@
 	unansweredSince time.Duration
 	lastSentAt      time.Duration
 	// needs reports whether the instance has requested targets from this one;
-	// needsAt is the last time.
-	needs   bool
-	needsAt time.Duration
+	// needsAt is the last time, and needsTexts what it requested then.
+	needs      bool
+	needsAt    time.Duration
+	needsTexts []string
 	// alive is the liveness logged last.
 	alive bool
 }
@@ -131,10 +139,14 @@
 	// included, and othersSpent those spent by all other instances.
 	groupSpent  *meter
 	othersSpent *meter
-	// heldSentAt is the time at which the held targets were last sent to members,
-	// and heldSent maps each backend server to those targets.
+	// heldSentAt is the time at which all held targets were last sent to members.
+	// heldSent and heldNoted are the targets of each backend server that were last
+	// sent to members and to the instances that requested some.
 	heldSentAt time.Duration
-	heldSent   map[string][]string
+	heldSent   map[string]wire.ServerTargets
+	heldNoted  map[string]wire.ServerTargets
+	// standbyNotedAt is the time of the last notes to members as a standby.
+	standbyNotedAt time.Duration
 	// groupsCache is the cached result of groups, nil if the membership has
 	// changed.
 	groupsCache map[string][]string
@@ -150,6 +162,8 @@
 		peers:       map[string]*peer{},
 		groupSpent:  newMeter(),
 		othersSpent: newMeter(),
+		heldSent:    map[string]wire.ServerTargets{},
+		heldNoted:   map[string]wire.ServerTargets{},
 	}
 }
 
@@ -316,6 +330,7 @@
 		p.needs = p.needs || len(b.Needs) > 0
 		if len(b.Needs) > 0 {
 			p.needsAt = now
+			p.needsTexts = b.Needs
 		}
 	}
 	for _, m := range b.Members {
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -22,10 +22,18 @@
 	// _maxOverload bounds the factor by which overload of a copy raises the cost of
 	// its requests.
 	_maxOverload = 8.0
-	// _unservedRequestCost is the cost of a request for a model without a copy,
-	// and _unservedModelCost the cost of such a model without any requests.
+	// _unservedRequestCost is the cost of a request for a model without a copy, and
+	// _unservedModelCost the cost of such a model without any requests now. If none
+	// came within _askedWindow, it is _unaskedModelCost: where there is no room for
+	// a copy of each model, those that are asked for come first.
 	_unservedRequestCost = 10.0
 	_unservedModelCost   = 50.0
+	_unaskedModelCost    = 15.0
+	_askedWindow         = 30 * time.Second
+	// _minInitialCopies is the number of copies that a model keeps before there is
+	// any demand, if it has as many, or half of those that it was found with if
+	// that is more: where the operators have put them says what they expect.
+	_minInitialCopies = 2
 	// _redundancyCost is the cost, divided by the number of copies, of the risk
 	// of losing one. It applies to models that urgent requests have used within
 	// _urgentWindow.
@@ -93,6 +101,9 @@
 	// starved counts recent adapters that found all adapter slots in use. It
 	// decays with each update.
 	starved float64
+	// initial is the largest number of copies before there was any demand for the
+	// service.
+	initial int
 	seen    bool
 }
 
@@ -118,6 +129,11 @@
 	}
 }
 
+// isAsked reports whether the model was requested within _askedWindow.
+func (d *demandEstimate) isAsked(now time.Time) bool {
+	return !d.askedAt.IsZero() && now.Sub(d.askedAt) < _askedWindow
+}
+
 // forecast returns the expected number of requests at the time when a copy
 // ordered now can serve.
 func (d *demandEstimate) forecast() float64 {
@@ -128,6 +144,9 @@
 // of losing a copy, and starved adapters, or the cost of having no copy at all.
 func (d *demandEstimate) cost(k, slots int, now time.Time) float64 {
 	r := d.forecast()
+	if k == 0 && !d.isAsked(now) {
+		return _unaskedModelCost
+	}
 	if k == 0 {
 		return _unservedModelCost + _unservedRequestCost*r
 	}
@@ -180,6 +199,8 @@
 	unmetShortages []shortage
 	// catalog is derived from engine; it is created if nil.
 	catalog *modelCatalog
+	// beforeDemand is set while no model of the service has been requested.
+	beforeDemand bool
 	// accepting are the servers to which an order that changes a model can be sent
 	// now, with their free memory.
 	accepting []acceptingServer
@@ -239,6 +260,7 @@
 		return s, true
 	}
 	copies := p.countCopies()
+	p.noteInitial(copies)
 	p.listAccepting()
 	victims := p.victims(copies)
 	for _, sh := range p.shortages(copies) {
@@ -307,6 +329,21 @@
 	return total
 }
 
+// noteInitial records the copies that models have before there is any demand.
+func (p *planner) noteInitial(copies map[string]int) {
+	p.beforeDemand = true
+	for _, d := range p.demands {
+		p.beforeDemand = p.beforeDemand && !d.seen
+	}
+	if !p.beforeDemand {
+		return
+	}
+	for model, n := range copies {
+		d := p.estimate(model)
+		d.initial = max(d.initial, n)
+	}
+}
+
 // addCopies counts one copy of each model in another shard, or in a shard
 // without a steward if the index is negative.
 func (p *planner) addCopies(shard int, models []string) {
@@ -348,6 +385,9 @@
 	if copies[model] <= 1 {
 		return sh.copies == 0
 	}
+	if p.beforeDemand && copies[model] <= max(_minInitialCopies, (p.estimate(model).initial+1)/2) {
+		return false
+	}
 	if counts[p.shard] > 1 {
 		return true
 	}
--- a/steward/plan_test.go
+++ b/steward/plan_test.go
@@ -76,6 +76,23 @@
 			requests: map[string]float64{"m00": 3, "m01": 3, "m02": 3, "m03": 0, "m04": 24},
 			want:     "unload m03 on s1 for m04",
 		},
+		{
+			name:     "the last copy of a model that nobody asks for is unloaded for one that few ask for",
+			held:     [][]string{{"m00", "m01"}, {"m02", "m03"}},
+			requests: map[string]float64{"m00": 3, "m01": 3, "m02": 3, "m04": 0.3},
+			want:     "unload m03 on s1 for m04",
+		},
+		{
+			name:     "no copy of a busy model is unloaded for one that nobody asks for",
+			held:     [][]string{{"m00", "m01"}, {"m00", "m02"}, {"m00", "m03"}},
+			requests: map[string]float64{"m00": 50, "m01": 1, "m02": 1, "m03": 1},
+			want:     "nothing",
+		},
+		{
+			name: "before there is demand, a model keeps half of its copies",
+			held: [][]string{{"m00", "m01"}, {"m00", "m02"}},
+			want: "nothing",
+		},
 		{
 			name:     "no last copy is unloaded for a busy model that has a copy",
 			held:     [][]string{{"m00", "m01"}, {"m02", "m03"}},
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -230,3 +230,5 @@
 	// Workspace is the workspace's name.
 	Workspace string `json:"Workspace"`
 }
+
+//msgp:limit arrays:65536
