--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -259,7 +259,9 @@
 	h.mu.Lock()
 	trig := h.pending
 	h.pending = trigger{}
-	h.view.expire(now)
+	if trig.period {
+		h.view.expire(now)
+	}
 	h.view.recordSent(&own)
 	var out []outgoing
 	viaRelays := !h.view.fullMesh()
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -34,10 +34,15 @@
 		})
 	}
 	out := map[string][]string{}
+	v.positions = make(map[string]position, len(v.peers)+1)
 	for g, list := range lists {
 		sortCandidates(list)
-		for _, c := range list {
+		for rank, c := range list {
 			out[g] = append(out[g], c.name)
+			v.positions[c.name] = position{
+				group: g,
+				rank:  rank,
+			}
 		}
 	}
 	v.groupsCache = out
@@ -45,17 +50,6 @@
 	return out
 }
 
-// ownGroup returns the name of this instance's group.
-func (v *view) ownGroup(groups map[string][]string) string {
-	for g, names := range groups {
-		if slices.Contains(names, v.name) {
-			return g
-		}
-	}
-
-	return ""
-}
-
 // selectRelays returns the first instances of a group that respond, and those
 // before them that don't and are due for a retry.
 func (v *view) selectRelays(names []string, now time.Duration) (relays, retry []string) {
@@ -129,36 +123,32 @@
 		groups:       v.groups(),
 		groupSources: map[string]string{},
 	}
-	topo.group = v.ownGroup(topo.groups)
+	topo.group = v.positions[v.name].group
 	topo.relays, topo.retry = v.selectRelays(topo.groups[topo.group], now)
 	topo.activeRelay = v.findActiveRelay(topo.groups[topo.group], now)
 	topo.isActive = topo.activeRelay == "" && slices.Contains(topo.relays, v.name)
-	for g, names := range topo.groups {
-		if g == topo.group {
-			continue
-		}
-		for _, maxAge := range []time.Duration{_relayTimeout, _livenessTimeout} {
-			if name := v.firstGroupReport(names, now-maxAge); name != "" {
-				topo.groupSources[g] = name
-
-				break
-			}
-		}
+	for _, maxAge := range []time.Duration{_relayTimeout, _livenessTimeout} {
+		v.addGroupSources(&topo, now-maxAge)
 	}
 
 	return topo
 }
 
-// firstGroupReport returns the first instance whose aggregate of its group was
-// received at or after since.
-func (v *view) firstGroupReport(names []string, since time.Duration) string {
-	for _, name := range names {
-		if last := v.peers[name].group; last.bulletin != nil && last.receivedAt >= since {
-			return name
+// addGroupSources selects the source of each other group that has none yet: the
+// first instance in order of preference whose aggregate of its group was received
+// at or after since.
+func (v *view) addGroupSources(topo *topology, since time.Duration) {
+	found := map[string]string{}
+	for name := range v.groupSenders {
+		p, at := v.peers[name], v.positions[name]
+		if p == nil || at.group == topo.group || topo.groupSources[at.group] != "" || p.group.bulletin == nil || p.group.receivedAt < since {
+			continue
+		}
+		if other, ok := found[at.group]; !ok || at.rank < v.positions[other].rank {
+			found[at.group] = name
 		}
 	}
-
-	return ""
+	maps.Copy(topo.groupSources, found)
 }
 
 // recordSpent adds the amounts spent in a bulletin to those of the other
@@ -174,13 +164,11 @@
 		if len(b.Asked) == 0 {
 			return
 		}
-		for g, names := range topo.groups {
-			if slices.Contains(names, b.Name) {
-				v.othersSpent.record(meterKey{
-					subject: "group " + g,
-					source:  b.Name,
-				}, b.Start, spentByWorkspace(b, nil), topo.isActive && topo.groupSources[g] == b.Name, now)
-			}
+		if g := v.positions[b.Name].group; g != "" {
+			v.othersSpent.record(meterKey{
+				subject: "group " + g,
+				source:  b.Name,
+			}, b.Start, spentByWorkspace(b, nil), topo.isActive && topo.groupSources[g] == b.Name, now)
 		}
 	case _scopeAll:
 		own := v.includedOwn(b)
@@ -245,6 +233,9 @@
 
 // aggregateOthers returns the totals of all other instances.
 func (v *view) aggregateOthers(topo topology, now time.Duration) Aggregate {
+	if topo.activeRelay != "" {
+		return v.relayedOthers(v.peers[topo.activeRelay].all.bulletin)
+	}
 	o := v.sumOthers(topo, now)
 	b := &wire.Bulletin{}
 	o.fill(b, true)
@@ -258,6 +249,54 @@
 	}
 }
 
+// relayedOthers returns the totals of all other instances from the aggregate of
+// the active relay. The counts of this instance that the aggregate includes are
+// subtracted.
+func (v *view) relayedOthers(all *wire.Bulletin) Aggregate {
+	own := newTotals()
+	if included := v.includedOwn(all); included != nil {
+		own.add(included, 1)
+	}
+	b := &wire.Bulletin{
+		Running: make([]wire.ServerCount, 0, len(all.Running)),
+		Members: make([]wire.ListedInstance, 0, len(all.Members)),
+	}
+	for _, r := range all.Running {
+		if r.Count -= own.running[r.Server]; r.Count > 0 {
+			b.Running = append(b.Running, r)
+		}
+	}
+	for _, d := range all.Demand {
+		mine := own.demand[demandKey{
+			service: d.Service,
+			target:  d.Target,
+		}]
+		d.Running = max(d.Running-mine.Running, 0)
+		d.Waiting = max(d.Waiting-mine.Waiting, 0)
+		d.PerSecond = max(d.PerSecond-mine.PerSecond, 0)
+		if d.Running > 0 || d.Waiting > 0 || d.PerSecond > 0 {
+			b.Demand = append(b.Demand, d)
+		}
+	}
+	for _, m := range all.Members {
+		if m.Name != v.name {
+			b.Members = append(b.Members, m)
+		}
+	}
+	rates := newTotals()
+	for _, a := range all.Asked {
+		rates.asked[a.Workspace] = a.PerSecond - own.asked[a.Workspace]
+	}
+	b.Asked = rates.workspaceRates(v.othersSpent.total)
+
+	return Aggregate{
+		From:      AllOthers,
+		Start:     v.start,
+		Instances: len(b.Members),
+		Bulletin:  b,
+	}
+}
+
 // trigger holds the reasons for a round of bulletins.
 type trigger struct {
 	// period is set when the send interval has elapsed.
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -57,6 +57,8 @@
 	cut      func(from, to *member) bool
 	// loss is the fraction of datagrams that are lost.
 	loss float64
+	// composer returns the bulletin of the member with the given index.
+	composer func(i int, m *member) *wire.Bulletin
 }
 
 func newSimulation(t testing.TB, seed uint64, n int) *simulation {
@@ -68,6 +70,7 @@
 		loss:   testLoss,
 		byAddr: map[netip.AddrPort]*member{},
 	}
+	sim.composer = func(_ int, m *member) *wire.Bulletin { return sim.compose(m) }
 	capacities := []int{50, 144, 400, 800}
 	for i := range n {
 		m := &member{
@@ -142,27 +145,29 @@
 func (sim *simulation) run(d time.Duration) {
 	for end := sim.now + d; sim.now < end; {
 		sim.now += testStep
-		for _, m := range sim.members {
+		for i, m := range sim.members {
 			if m.down {
 				continue
 			}
 			m.pending.period = (sim.now+m.phase)%_sendInterval == 0
 			if m.pending != (trigger{}) {
-				sim.send(m)
+				sim.send(i, m)
 			}
 		}
 		sim.deliver()
 	}
 }
 
-func (sim *simulation) send(m *member) {
-	own := sim.compose(m)
+func (sim *simulation) send(i int, m *member) {
+	own := sim.composer(i, m)
 	if m.v.forwardsChanges(sim.now) {
 		own.Changes.UpTo = 1
 	}
-	m.v.expire(sim.now)
-	m.v.recordSent(own)
 	trig := m.pending
+	if trig.period {
+		m.v.expire(sim.now)
+	}
+	m.v.recordSent(own)
 	m.pending = trigger{}
 	for _, o := range m.v.relayBulletins(own, trig, sim.now) {
 		data, err := encode(o.b)
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -148,8 +148,17 @@
 	// standbyNotedAt is the time of the last notes to members as a standby.
 	standbyNotedAt time.Duration
 	// groupsCache is the cached result of groups, nil if the membership has
-	// changed.
+	// changed. positions holds the place of each instance in it.
 	groupsCache map[string][]string
+	positions   map[string]position
+	// groupSenders are the instances that have sent an aggregate of their group.
+	groupSenders map[string]bool
+}
+
+// position is the group of an instance and its rank there as a relay, from 0.
+type position struct {
+	group string
+	rank  int
 }
 
 func newView(cfg Config) *view {
@@ -164,6 +173,8 @@
 		othersSpent: newMeter(),
 		heldSent:    map[string]wire.ServerTargets{},
 		heldNoted:   map[string]wire.ServerTargets{},
+
+		groupSenders: map[string]bool{},
 	}
 }
 
@@ -277,6 +288,7 @@
 		}
 		if idle := p.sinceSeen(now); !p.inStore && (idle > _peerRetention || idle < 0) {
 			delete(v.peers, name)
+			delete(v.groupSenders, name)
 			v.groupsCache = nil
 		}
 	}
@@ -324,6 +336,7 @@
 		}, b.Start, spentByWorkspace(b, nil), true, now)
 	case _scopeGroup:
 		p.group = received
+		v.groupSenders[b.Name] = true
 	case _scopeAll:
 		p.all = received
 	case _scopeNote:
