--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -27,11 +27,13 @@
 	refilledAt time.Time
 }
 
-// SetInstances sets the number of instances that share the slack.
-func (b *Balancer) SetInstances(n int) {
+// SetInstances sets the number of instances, which share the slack, and the usual
+// age of the counts of requests that they have of each other.
+func (b *Balancer) SetInstances(n int, countAge time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limits.Instances = max(n, 1)
+	b.countAge = countAge
 }
 
 // CountRequest adds the tokens for one request to the retry budget of service.
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -166,6 +166,7 @@
 	switch result {
 	case ResultOK:
 		s.health.record(false, now)
+		b.updateDuration(s.entry.Service, float64(now.Sub(run.sentAt)))
 	case ResultFailed, ResultUnreachable, ResultError:
 		s.health.record(true, now)
 	case ResultNotLoaded:
@@ -181,6 +182,15 @@
 	}
 }
 
+// updateDuration adds the duration of a request to the mean of its service.
+func (b *Balancer) updateDuration(service string, duration float64) {
+	mean, ok := b.meanDurations[service]
+	if !ok {
+		mean = duration
+	}
+	b.meanDurations[service] = mean*_meanLatencyDecay + duration*(1-_meanLatencyDecay)
+}
+
 // updateLatency adds a response's latency to the mean of its class, and its
 // ratio to the previous mean to the latency ratio of s.
 func (b *Balancer) updateLatency(s *server, class string, latency float64) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -440,7 +440,7 @@
 	}
 	e.records.mu.Unlock()
 	e.hub.SetRecords(records)
-	e.balancer.SetInstances(len(records))
+	e.balancer.SetInstances(len(records), e.hub.CountAge())
 	if !e.hub.FullMesh() {
 		others = map[string]int{exchange.AllOthers: len(others)}
 	}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -38,6 +38,9 @@
 	// _sendInterval is the time between periodic bulletins. Counts of running
 	// requests must propagate within a fraction of a request's duration.
 	_sendInterval = 200 * time.Millisecond
+	// _relayHops is the number of instances that pass counts on between the members of
+	// two groups, the sender included, and one more for the interval until a choice.
+	_relayHops = 4
 	// _minSendInterval is the shortest time between two bulletins, and
 	// _minForwardInterval between two that forward the state of others.
 	_minSendInterval    = 5 * time.Millisecond
@@ -209,6 +212,16 @@
 	return h.view.fullMesh()
 }
 
+// CountAge returns the usual age of the request counts of other instances: half an
+// interval for each time that they are passed on.
+func (h *Hub) CountAge() time.Duration {
+	if h.FullMesh() {
+		return _sendInterval / 2
+	}
+
+	return _relayHops * _sendInterval / 2
+}
+
 // ReadsStore reports whether this instance reads the platform's store on behalf of
 // the others. Two instances do; where relays are used, these are active relays.
 func (h *Hub) ReadsStore() bool {
