dispatch: at least three servers a subset

By the load of a plain service at the large site (1.2 requests a second an instance, six servers): with all six a connection is idle for 5 s before it is needed again.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -40,7 +40,7 @@
 	// servers. While all servers of the subset have a load of _subsetUtilization of
 	// their slots, the subset is doubled.
 	_instancesPerServer = 16
-	_minSubset          = 6
+	_minSubset          = 3
 	_subsetUtilization  = 0.9
 	// _maxStaleShare bounds the requests that are expected within the age of the
 	// counts of other instances, as a fraction of those running.
