--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"papayastair.dev/papayastair/connection"
 	"papayastair.dev/papayastair/engine"
 	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/timer"
@@ -181,7 +182,7 @@
 type Gateway struct {
 	cfg      Config
 	app      *fiber.App
-	listener net.Listener
+	listener *connection.LingeringListener
 	wg       conc.WaitGroup
 	sweep    *timer.Subscription
 	draining atomic.Bool
@@ -203,7 +204,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg:      cfg,
-		listener: listener,
+		listener: &connection.LingeringListener{Listener: listener},
 		open:     map[string]*relay{},
 		ctx:      ctx,
 		stop:     stop,
@@ -266,6 +267,7 @@
 	_ = g.app.ShutdownWithContext(ctx)
 	g.active.Wait()
 	g.wg.Wait()
+	g.listener.Wait()
 }
 
 // admitRequest bounds the requests at once, and counts them.
