A panic ends what it was doing and not the process or its duty

Asked for by the users (one malformed message or unexpected error took a whole process down). Looked for here: a panic in the goroutine of a request ended the process, with all its streams. In the goroutines of duties (bulletins, orders, leases, following the store) it did not end the process but, caught by conc until Close, the duty, without a line: an instance that takes no bulletins any more looks alive to callers.

Change: Log.Recover, deferred around a request, a bulletin sent or taken, a tick of the steward, an order, a lease's step, one answer of the store and the record; it logs Panicked with the stack. A request that panics closes its callers' connection, which promises nothing, and that to its backend server, and is no longer counted as running. Locks around what can panic are released by defer.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -78,7 +78,14 @@
 		e.demand.addRunning(j.demandKey(), 1)
 		defer e.demand.addRunning(j.demandKey(), -1)
 	}
+	ended := false
+	defer func() {
+		if !ended {
+			a.discard()
+		}
+	}()
 	result, o, err := a.do()
+	ended = true
 	if a.conn != nil {
 		j.r.OnDisconnect(nil)
 	}
@@ -98,6 +105,15 @@
 	return o
 }
 
+// discard closes the connection of a request whose handling panicked, so that the
+// backend server stops working on it, and ends its count.
+func (a *attempt) discard() {
+	if a.conn != nil {
+		a.conn.Close()
+	}
+	a.j.e.balancer.End(a.run, dispatch.ResultCanceled, 0, time.Now())
+}
+
 func (a *attempt) do() (dispatch.Result, outcome, error) {
 	j := a.j
 	pool := j.e.pool(a.choice.Server)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -258,8 +258,11 @@
 		e.servers = append(e.servers, hop.Serve(hop.ServerConfig{
 			Listener: listener,
 			Limits:   func() site.Limits { return *e.limits.Load() },
-			Handle:   l.handle,
-			Refused:  e.logMalformed,
+			Handle: func(r *hop.Request) {
+				defer e.cfg.Log.Recover("Caller")
+				l.handle(r)
+			},
+			Refused: e.logMalformed,
 		}))
 	}
 
@@ -393,10 +396,15 @@
 		for _, p := range pools {
 			p.Trim()
 		}
-		e.syncRecord()
+		e.syncOwnRecord()
 	}
 }
 
+func (e *Entry) syncOwnRecord() {
+	defer e.cfg.Log.Recover("Record")
+	e.syncRecord()
+}
+
 // pool returns the pool of connections to one start of a backend server.
 func (e *Entry) pool(s *site.BackendServer) *hop.Pool {
 	e.mu.Lock()
--- a/entry/request.go
+++ b/entry/request.go
@@ -73,6 +73,8 @@
 
 // handle serves one request.
 func (e *Entry) handle(r *hop.Request) {
+	// Without a complete answer the connection is closed, which promises nothing.
+	defer e.cfg.Log.Recover("Request", zap.String("Path", r.Head.Path()))
 	j := &job{
 		e:    e,
 		r:    r,
--- a/event/event.go
+++ b/event/event.go
@@ -5,7 +5,9 @@
 package event
 
 import (
+	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -80,6 +82,23 @@
 	entry.Write(append(fields, zap.Int("Number", kind.Number))...)
 }
 
+// _maxStackBytes bounds the stack of a panic in the log.
+const _maxStackBytes = 4 << 10
+
+// Recover ends a panic of the function that defers it, and logs it with its stack.
+// The goroutines that serve a process run for as long as it does: one that ended
+// would be missing without a sign, and a process that ended would cut off all of
+// its requests for the error of one.
+func (l *Log) Recover(duty string, fields ...zap.Field) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	stack := debug.Stack()
+	l.Write(Panicked, append(fields, zap.String("Duty", duty), zap.String("Value", fmt.Sprint(v)),
+		zap.ByteString("Stack", stack[:min(len(stack), _maxStackBytes)]))...)
+}
+
 // Close flushes the log.
 func (l *Log) Close() {
 	if l == nil || l.zap == nil {
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -261,41 +261,49 @@
 }
 
 func (h *Hub) sendOnce() {
+	defer h.cfg.Log.Recover("SendBulletins")
 	// Take the time first: if the process is suspended while it composes the
 	// bulletin, the content must not appear more recent than it is.
 	now := timer.Elapsed()
-	h.mu.Lock()
-	forward := h.view.forwardsChanges(now)
-	h.mu.Unlock()
-	own := h.cfg.Compose(forward)
+	own := h.cfg.Compose(h.forwardsChanges(now))
 	own.SentMS = int(now.Milliseconds())
+	out, others := h.prepare(&own, now)
+	if others != nil {
+		h.cfg.OnAggregate(*others)
+	}
+	for _, o := range out {
+		h.transmit(o)
+	}
+}
+
+func (h *Hub) forwardsChanges(now time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.view.forwardsChanges(now)
+}
+
+// prepare returns the bulletins of a round and, on the active relay in periodic
+// rounds, the totals of all other instances.
+func (h *Hub) prepare(own *wire.Bulletin, now time.Duration) (out []outgoing, others *Aggregate) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	trig := h.pending
 	h.pending = trigger{}
 	if trig.period {
 		h.view.expire(now)
 	}
-	h.view.recordSent(&own)
-	var out []outgoing
-	viaRelays := !h.view.fullMesh()
-	if viaRelays {
-		out = h.view.relayBulletins(&own, trig, now)
-	} else {
-		out = h.view.meshBulletins(&own, now)
-	}
-	var others Aggregate
-	topo := h.view.computeTopology(now)
-	notify := viaRelays && trig.period && topo.isActive
-	if notify {
-		others = h.view.aggregateOthers(topo, now)
-	}
-	h.mu.Unlock()
-	if notify {
-		h.cfg.OnAggregate(others)
+	h.view.recordSent(own)
+	if h.view.fullMesh() {
+		return h.view.meshBulletins(own, now), nil
 	}
-	for _, o := range out {
-		h.transmit(o)
+	out = h.view.relayBulletins(own, trig, now)
+	if topo := h.view.computeTopology(now); trig.period && topo.isActive {
+		sum := h.view.aggregateOthers(topo, now)
+		others = &sum
 	}
+
+	return out, others
 }
 
 func (h *Hub) transmit(o outgoing) {
@@ -368,34 +376,45 @@
 // handle applies a received bulletin to the view, invokes the callbacks and
 // schedules the bulletins that it triggers.
 func (h *Hub) handle(b *wire.Bulletin) {
-	now := timer.Elapsed()
-	h.mu.Lock()
-	notBefore, ok := h.view.apply(b, now)
+	defer h.cfg.Log.Recover("Bulletin", zap.String("From", b.Name))
+	r, ok := h.receiveBulletin(b, timer.Elapsed())
 	if !ok {
-		h.mu.Unlock()
-
 		return
 	}
-	var aggregate *Aggregate
-	trig := trigger{}
-	if h.view.fullMesh() {
-		if b.Scope == _scopeOwn {
-			aggregate = &Aggregate{
-				From:      b.Name,
-				Start:     b.Start,
-				Instances: 1,
-				Bulletin:  b,
-			}
-		}
-	} else {
-		aggregate, trig = h.view.handleRelayed(b, now)
+	h.cfg.OnBulletin(b, r.notBefore)
+	if r.aggregate != nil {
+		h.cfg.OnAggregate(*r.aggregate)
 	}
-	h.mu.Unlock()
-	h.cfg.OnBulletin(b, notBefore)
-	if aggregate != nil {
-		h.cfg.OnAggregate(*aggregate)
+	if r.trig != (trigger{}) {
+		h.schedule(func(pending *trigger) { pending.merge(r.trig) })
 	}
-	if trig != (trigger{}) {
-		h.schedule(func(pending *trigger) { pending.merge(trig) })
+}
+
+// reception is what follows from a received bulletin.
+type reception struct {
+	notBefore time.Duration
+	aggregate *Aggregate
+	trig      trigger
+}
+
+// receiveBulletin applies a bulletin to the view and reports whether it was
+// accepted.
+func (h *Hub) receiveBulletin(b *wire.Bulletin, now time.Duration) (r reception, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.notBefore, ok = h.view.apply(b, now)
+	switch {
+	case !ok:
+	case !h.view.fullMesh():
+		r.aggregate, r.trig = h.view.handleRelayed(b, now)
+	case b.Scope == _scopeOwn:
+		r.aggregate = &Aggregate{
+			From:      b.Name,
+			Start:     b.Start,
+			Instances: 1,
+			Bulletin:  b,
+		}
 	}
+
+	return r, ok
 }
--- a/hop/server.go
+++ b/hop/server.go
@@ -42,7 +42,7 @@
 	// Limits returns the limits in force. It is called again for each request.
 	Limits func() site.Limits
 	// Handle responds to a request, in a goroutine of its own. If it returns
-	// without a complete response, the connection is closed.
+	// without a complete response, the connection is closed. It must not panic.
 	Handle func(r *Request)
 	// Refused is called for each request that could not be read, because it was
 	// invalid, too large or too slow, with the status of the response. It may be
--- a/objectstore/follow.go
+++ b/objectstore/follow.go
@@ -76,6 +76,7 @@
 
 // step makes one call and reports whether its answer was of use.
 func (f *follower) step(ctx context.Context) bool {
+	defer f.cfg.Log.Recover("Follow", zap.String("Kind", f.cfg.Kind))
 	call := f.cfg.Store.Watch
 	if !f.listed {
 		call = func(ctx context.Context, kind string, _ int) (wire.ObjectList, error) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -402,7 +402,7 @@
 
 func (s *Steward) maintainLease(l *Lease) {
 	for s.ctx.Err() == nil {
-		wait := l.Step(s.ctx)
+		wait := s.step(l)
 		select {
 		case <-s.ctx.Done():
 		case <-time.After(wait):
@@ -410,6 +410,15 @@
 	}
 }
 
+// step renews or tries to acquire a lease, and returns the time until the next
+// call.
+func (s *Steward) step(l *Lease) (wait time.Duration) {
+	wait = _retryInterval
+	defer s.cfg.Log.Recover("Lease")
+
+	return l.Step(s.ctx)
+}
+
 func (s *Steward) run() {
 	ticker := time.NewTicker(_tickInterval)
 	defer ticker.Stop()
@@ -437,6 +446,7 @@
 // tick updates the active shards and starts the loads of adapters and the report
 // reads that are due. If plan is set, it also starts changes of models.
 func (s *Steward) tick(now time.Time, plan bool) {
+	defer s.cfg.Log.Recover("Orders")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	anyActive := false
@@ -546,10 +556,13 @@
 func (s *Steward) startTask(srv *serverState, fn func(srv *serverState)) {
 	srv.inFlight = true
 	s.wg.Go(func() {
+		defer s.cfg.Log.Recover("Order", zap.String("Server", srv.entry.ID))
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			srv.inFlight = false
+		}()
 		fn(srv)
-		s.mu.Lock()
-		srv.inFlight = false
-		s.mu.Unlock()
 	})
 }
 
@@ -856,7 +869,15 @@
 	ctx, cancel := context.WithTimeout(s.ctx, _reportTimeout)
 	defer cancel()
 	r, err := s.cfg.Report(ctx, entry)
+	s.observe(srv, &entry, r, err)
+	s.cfg.Changed()
+}
+
+// observe updates the state of a backend server from a report of it, or from the
+// error of reading one.
+func (s *Steward) observe(srv *serverState, entry *site.BackendServer, r site.Report, err error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	srv.backoffUntil = now.Add(_pollInterval)
 	srv.pollAt = now.Add(_pollInterval)
@@ -881,6 +902,4 @@
 			srv.synced = false
 		}
 	}
-	s.mu.Unlock()
-	s.cfg.Changed()
 }
