dispatch: counts are outdated also before the first request has ended

A balancer that has just started has no mean duration, took the counts of others as fresh and chose the lowest score until its first request had ended.

--- a/connection/linger.go
+++ b/connection/linger.go
@@ -83,7 +83,7 @@
 
 func (c *lingeringConn) drain() {
 	defer func() { _ = c.Conn.Close() }()
-	if c.Conn.SetReadDeadline(time.Now().Add(_lingerTimeout)) == nil {
+	if c.SetReadDeadline(time.Now().Add(_lingerTimeout)) == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, _lingerBytes)
 	}
 }
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -431,11 +431,12 @@
 }
 
 // staleShare returns the fraction of the running requests of a service that is
-// expected to arrive within the age of the counts of other instances.
+// expected to arrive within the age of the counts of other instances. Until the
+// first request has ended, no more is known than that the counts are outdated.
 func (b *Balancer) staleShare(service string) float64 {
 	mean := b.meanDurations[service]
 	if mean == 0 {
-		return 0
+		mean = 1
 	}
 
 	return min(float64(b.countAge)/mean, _maxStaleShare)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -413,7 +413,7 @@
 // step renews or tries to acquire a lease, and returns the time until the next
 // call.
 func (s *Steward) step(l *Lease) (wait time.Duration) {
-	wait = _retryInterval
+	defer func() { wait = max(wait, _retryInterval) }()
 	defer s.cfg.Log.Recover("Lease")
 
 	return l.Step(s.ctx)
