--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,10 @@
 	// acquire a free lease; _stewardMaxDelay limits the total delay.
 	_stewardStagger  = 300 * time.Millisecond
 	_stewardMaxDelay = 1500 * time.Millisecond
+	// _leavingStewardDelay exceeds the time that a leaving instance has left. A lease
+	// that it acquired would be released before the first order: each handover costs
+	// a delay without orders.
+	_leavingStewardDelay = time.Hour
 	// _fullServicePeriod is how long after the shutdown request any request is
 	// still accepted; later, only those whose deadline falls before the exit are.
 	// The users' rules excuse an answer cut off by the exit for requests sent
@@ -441,6 +445,9 @@
 // equals a hash of the shard and the name decides, so that the shards are
 // spread over them.
 func (e *Entry) stewardDelay(shard int) time.Duration {
+	if e.leaving.Load() {
+		return _leavingStewardDelay
+	}
 	type priority struct {
 		capacity int
 		hash     uint64
