--- a/exchange/control_test.go
+++ b/exchange/control_test.go
@@ -69,7 +69,7 @@
 // with their encoding, for one second of virtual time. us/instance is the time an
 // instance spends in a second.
 func BenchmarkControl(b *testing.B) {
-	for _, n := range []int{30, 100, 300, 1000} {
+	for _, n := range []int{30, 60, 100, 300, 1000} {
 		b.Run(fmt.Sprint("Instances=", n), func(b *testing.B) {
 			sim := newSimulation(b, 1, n)
 			sim.composer = sim.composeLoaded
