exchange: a standby's note carries the changes of servers' entries

Cause, by reading: made the standby relay of a group silent but for empty notes. It was what told members of the other reader's changes while their active relay, a reader itself, got no answers from the store. Change: the notes carry the changes, kept for two notes; a reader takes changes from the other reader before it calls the store again. Tests, both fail before: TestChangesBypassStuckReader, TestReaderTakesReceivedChanges.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -12,8 +12,8 @@
 
 const (
 	// _changeRetention is how long a change is included in bulletins: three
-	// bulletins, so that a lost one leaves no gap.
-	_changeRetention = 700 * time.Millisecond
+	// bulletins, or two notes of a standby relay, so that a lost one leaves no gap.
+	_changeRetention = 900 * time.Millisecond
 	// _readerTimeout is the time without a bulletin from a reader after which this
 	// instance queries the store itself.
 	_readerTimeout = 1500 * time.Millisecond
@@ -78,9 +78,11 @@
 }
 
 // waitReceived waits until another instance has sent the changes after a
-// revision. It reports false if the store must be queried instead.
+// revision. It reports false if the store must be queried instead. An instance that
+// reads the store itself takes changes that have been received, as its own call may
+// have failed, but doesn't wait for them.
 func (c *serverChanges) waitReceived(ctx context.Context, kind string, after int, reads func() bool) (wire.ObjectList, bool, error) {
-	for !reads() {
+	for {
 		c.mu.Lock()
 		updated, received, left := c.updated, c.received, _readerTimeout-time.Since(c.receivedAt)
 		c.mu.Unlock()
@@ -93,6 +95,9 @@
 
 			return l, true, nil
 		}
+		if reads() {
+			return wire.ObjectList{}, false, nil
+		}
 		timer := time.NewTimer(left)
 		select {
 		case <-ctx.Done():
@@ -104,8 +109,6 @@
 		}
 		timer.Stop()
 	}
-
-	return wire.ObjectList{}, false, nil
 }
 
 // objectList returns the received changes after a revision as the store would
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -202,3 +202,52 @@
 		t.Errorf("the other instances queried the store %d times, want at most once each", queries)
 	}
 }
+
+// TestReaderTakesReceivedChanges checks that an instance that reads the store for
+// others takes what the other reader has sent when its own call fails: as a relay it
+// would otherwise send its members to backend servers that have left.
+func TestReaderTakesReceivedChanges(t *testing.T) {
+	const revision = 5
+	c := newServerChanges()
+	store := c.wrap(objectstore.Store{
+		List: func(context.Context, string) (wire.ObjectList, error) {
+			return wire.ObjectList{Version: revision}, nil
+		},
+		Watch: func(context.Context, string, int) (wire.ObjectList, error) {
+			return wire.ObjectList{}, &objectstore.Error{Code: objectstore.CodeNotRun}
+		},
+	}, func() bool { return true })
+	ctx := context.Background()
+	if _, err := store.List(ctx, "servers"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Watch(ctx, "servers", revision); err == nil {
+		t.Error("a watch has succeeded without an answer")
+	}
+	c.receive(wire.ServerChanges{
+		After: revision,
+		UpTo:  revision + 2,
+		Entries: []wire.ServerEntry{{
+			Server:   "s1",
+			Revision: revision + 2,
+			Told:     revision + 2,
+			Value:    "leaving",
+		}},
+	}, time.Now())
+	got, err := store.Watch(ctx, "servers", revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := wire.ObjectList{
+		Version: revision + 2,
+		Objects: []wire.Object{{
+			Kind:    "servers",
+			Name:    "s1",
+			Version: revision + 2,
+			Value:   "leaving",
+		}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -501,7 +501,7 @@
 // reportToMembers returns the aggregate of all instances, addressed to the
 // members that report to this one. Only stewards receive the demand. A standby
 // relay sends it to the members that no longer hear the active one, and from
-// time to time an empty note to the others.
+// time to time a note to the others.
 func (v *view) reportToMembers(own *wire.Bulletin, topo topology, periodic bool, now time.Duration) []outgoing {
 	var others, stewards, noted []netip.AddrPort
 	all := v.newBulletin(own, _scopeAll)
@@ -525,10 +525,10 @@
 	var out []outgoing
 	if periodic && len(noted) > 0 && now-v.standbyNotedAt >= _standbyNoteInterval {
 		v.standbyNotedAt = now
-		note := v.newBulletin(own, _scopeNote)
-		note.Changes = wire.ServerChanges{}
+		// It carries the changes read from the store: the active relay may be a reader
+		// that gets no answers, while the standby has them from the other reader.
 		out = append(out, outgoing{
-			b:  note,
+			b:  v.newBulletin(own, _scopeNote),
 			to: noted,
 		})
 	}
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -31,6 +31,10 @@
 	running int
 	spent   float64
 	pending trigger
+	// upTo is the revision of the store up to which it knows the changes. stuck is set
+	// if it takes none from others, as a store reader does.
+	upTo  int
+	stuck bool
 	// sums are the last totals of all other instances that it received or
 	// computed.
 	sums Aggregate
@@ -161,7 +165,7 @@
 func (sim *simulation) send(i int, m *member) {
 	own := sim.composer(i, m)
 	if m.v.forwardsChanges(sim.now) {
-		own.Changes.UpTo = 1
+		own.Changes.UpTo = max(m.upTo, 1)
 	}
 	trig := m.pending
 	if trig.period {
@@ -206,6 +210,9 @@
 		if _, ok := to.v.apply(b, sim.now); !ok {
 			continue
 		}
+		if !to.stuck {
+			to.upTo = max(to.upTo, b.Changes.UpTo)
+		}
 		sum, trig := to.v.handleRelayed(b, sim.now)
 		to.pending.merge(trig)
 		if sum != nil {
@@ -404,6 +411,34 @@
 	}
 }
 
+// TestChangesBypassStuckReader checks that changes of the store reach the members of
+// a group whose active relay reads the store itself but gets no answers, from the
+// other reader. A request that is sent to a backend server because its leaving isn't
+// known breaks a promise after a few seconds.
+func TestChangesBypassStuckReader(t *testing.T) {
+	sim := newSimulation(t, 4, testSmall)
+	sim.run(testConvergence)
+	var readers []*member
+	for _, m := range sim.members {
+		if m.v.readsStore(sim.now) {
+			readers = append(readers, m)
+		}
+	}
+	if len(readers) != _storeReaders {
+		t.Fatalf("%d store readers", len(readers))
+	}
+	const revision = 7
+	readers[0].stuck = true
+	readers[1].upTo = revision
+	// The other reader, a relay, the standby's note, and one of these lost.
+	sim.run(2*_sendInterval + 2*_standbyNoteInterval)
+	for _, m := range sim.members {
+		if m != readers[0] && m.upTo != revision {
+			t.Errorf("%s in %s knows the changes up to %d, want %d", m.cfg.Name, m.cfg.FailureDomain, m.upTo, revision)
+		}
+	}
+}
+
 // TestStoreChangesForwarded checks that store changes reach every instance,
 // including those in groups without a store reader, through the relays.
 func TestStoreChangesForwarded(t *testing.T) {
