--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,21 +31,6 @@
 	// _sameDomainBonus is subtracted from the score of a backend server in the
 	// failure domain of the instance, in requests.
 	_sameDomainBonus = 1.5
-	// Each instance prefers a subset of the backend servers that serve a target, so
-	// that it reuses its connections, and so that not all instances choose the same
-	// server by the same outdated counts. Together they are to choose each server
-	// from _instancesPerServer instances, and each instance from at least _minSubset
-	// servers. While all servers of the subset have a load of _subsetUtilization of
-	// their slots, the subset is doubled.
-	_instancesPerServer = 16
-	_minSubset          = 3
-	_subsetUtilization  = 0.9
-	// _maxStaleShare bounds the requests that are expected within the age of the
-	// counts of other instances, as a fraction of those running.
-	_maxStaleShare = 1.0
-	// _sameDomainRank is the factor on the ranks of backend servers in the failure
-	// domain of the instance, which are therefore more often in the subset.
-	_sameDomainRank = 0.5
 	// _baseLoad is added to the load of every backend server, so that an idle
 	// slow one scores worse than a faster one with few requests.
 	_baseLoad = 2.0
@@ -300,175 +283,6 @@
 	return site.Holds(s.entry.Models, t)
 }
 
-// candidate is a backend server that can run a request.
-type candidate struct {
-	*server
-	load    int
-	avoided bool
-	rank    float64
-	score   float64
-}
-
-// Choose selects the backend server with the shortest expected wait, in the
-// subset that this instance prefers. A random part of the score spreads requests
-// over equal servers, so that instances don't all choose the same one.
-func (b *Balancer) Choose(req Request, now time.Time) Choice {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	choice, candidates := b.candidates(req, now)
-	if len(candidates) == 0 {
-		return choice
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	n := max(_minSubset, (_instancesPerServer*choice.Candidates+b.limits.Instances-1)/max(b.limits.Instances, 1))
-	for n < len(candidates) && !hasRoom(candidates[:n]) {
-		n *= 2
-	}
-	best := b.pick(candidates[:min(n, len(candidates))], req)
-	entry := best.entry
-	choice.Server = &entry
-	choice.Reason = ReasonNone
-	choice.Load = best.load
-	choice.Avoided = best.avoided
-
-	return choice
-}
-
-// hasRoom reports whether a candidate has a load below _subsetUtilization of its
-// slots.
-func hasRoom(candidates []candidate) bool {
-	return slices.ContainsFunc(candidates, func(c candidate) bool {
-		return float64(c.load) < _subsetUtilization*float64(max(c.entry.Slots, 1))
-	})
-}
-
-// candidates returns the backend servers that can run a request, and the reason if
-// there are none. One that is avoided is a candidate only if there is no other:
-// when all are failing, the few that succeed are better than none.
-func (b *Balancer) candidates(req Request, now time.Time) (Choice, []candidate) {
-	text := ""
-	if req.Target.Model != "" {
-		text = req.Target.String()
-	}
-	choice := Choice{Reason: ReasonNoServer}
-	var healthy, avoided []candidate
-	for _, s := range b.services[req.Service] {
-		if s.entry.Draining || s.gone || contains(req.Exclude, s.entry.ID) {
-			continue
-		}
-		choice.Reason = moreSpecific(choice.Reason, ReasonNoCopy)
-		if !s.serves(req.Target, text, now) {
-			continue
-		}
-		choice.Candidates++
-		c := candidate{
-			server:  s,
-			load:    s.running + b.peerLoads[s.entry.ID],
-			avoided: s.health.avoided(now),
-			rank:    s.rank,
-		}
-		if float64(c.load) >= maxLoad(s.entry.Slots, req) {
-			choice.Reason = moreSpecific(choice.Reason, ReasonFull)
-
-			continue
-		}
-		if s.entry.FailureDomain == req.FailureDomain {
-			c.rank *= _sameDomainRank
-		}
-		if c.avoided {
-			avoided = append(avoided, c)
-		} else {
-			healthy = append(healthy, c)
-		}
-	}
-	if len(healthy) == 0 {
-		return choice, avoided
-	}
-
-	return choice, healthy
-}
-
-// pick returns one of the candidates, of which there must be one. The counts of
-// other instances are outdated: if all instances chose the lowest score, they would
-// flood one server until the next counts arrive. So it fills up the scores by the
-// requests that are expected within the age of the counts, and picks each server
-// with the probability of its part in that. With recent counts, or few requests,
-// that is the lowest score.
-func (b *Balancer) pick(candidates []candidate, req Request) candidate {
-	scores := make([]float64, 0, len(candidates))
-	stale := b.staleShare(req.Service)
-	expected := 0.0
-	for i := range candidates {
-		c := &candidates[i]
-		// As many requests as are expected to arrive have ended.
-		replaced := stale * float64(c.load-c.running)
-		expected += replaced
-		c.score = b.score(c.server, float64(c.load)-replaced, req)
-		scores = append(scores, c.score)
-	}
-	slices.Sort(scores)
-	level, below := scores[0], 0.0
-	for n, score := range scores {
-		// The first n scores are filled up to score.
-		if room := float64(n)*score - below; room > expected {
-			break
-		}
-		below += score
-		level = (expected + below) / float64(n+1)
-	}
-	at := b.rng.Float64() * expected
-	best := candidates[0]
-	for _, c := range candidates {
-		if at -= max(level-c.score, 0); at < 0 {
-			return c
-		}
-		if c.score < best.score {
-			best = c
-		}
-	}
-
-	return best
-}
-
-// staleShare returns the fraction of the running requests of a service that is
-// expected to arrive within the age of the counts of other instances. Until the
-// first request has ended, no more is known than that the counts are outdated.
-func (b *Balancer) staleShare(service string) float64 {
-	mean := b.meanDurations[service]
-	if mean == 0 {
-		mean = 1
-	}
-
-	return min(float64(b.countAge)/mean, _maxStaleShare)
-}
-
-// score returns the expected wait on s, in requests of mean latency. Lower is
-// better.
-func (b *Balancer) score(s *server, load float64, req Request) float64 {
-	score := (load + _baseLoad) * s.latencyRatio
-	if s.entry.FailureDomain == req.FailureDomain {
-		score -= _sameDomainBonus
-	}
-
-	return score + b.rng.Float64()*0.5
-}
-
-// maxLoad returns the number of running and queued requests at which a backend
-// server with the given slots gets no more requests like req.
-func maxLoad(slots int, req Request) float64 {
-	n := float64(max(slots, 1))
-	switch {
-	case req.Target.Model == "":
-		return n * (1 + _plainQueuePerSlot)
-	case req.Rank == 0:
-		return n * _urgentMaxUtilization
-	case req.Rank < _bulkRank:
-		return n * _normalMaxUtilization
-	default:
-		return n * _bulkMaxUtilization
-	}
-}
-
 // moreSpecific returns the reason that takes precedence: ReasonFull over
 // ReasonNoCopy over ReasonNoServer.
 func moreSpecific(a, b Reason) Reason {
