exchange: look only at the leases to find the stewards

Each request for a target added up the state of all instances for the names of the four lease holders. The record of what was told of servers keeps only those that are there.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -394,11 +394,7 @@
 	o := outgoing{b: v.newBulletin(own, _scopeNote)}
 	o.b.Changes = wire.ServerChanges{}
 	o.b.Needs = own.Needs
-	holders := map[string]bool{}
-	for _, sh := range v.sumOthers(topo, now).shards {
-		holders[sh.Holder] = true
-	}
-	for name := range holders {
+	for name := range v.stewards(topo, now) {
 		if p := v.peers[name]; p != nil && p.addr.IsValid() {
 			o.to = append(o.to, p.addr)
 		}
@@ -407,6 +403,33 @@
 	return []outgoing{o}
 }
 
+// stewards returns the names of the other instances that hold a lease.
+func (v *view) stewards(topo topology, now time.Duration) map[string]bool {
+	t := newTotals()
+	add := func(last receivedBulletin) {
+		t.addShards(last.bulletin, last.ageMS(now))
+	}
+	switch {
+	case topo.activeRelay != "":
+		add(v.peers[topo.activeRelay].all)
+	case topo.isActive:
+		for _, p := range v.peers {
+			if p.own.fresh(now) {
+				add(p.own)
+			}
+		}
+		for _, name := range topo.groupSources {
+			add(v.peers[name].group)
+		}
+	}
+	names := map[string]bool{}
+	for _, sh := range t.shards {
+		names[sh.Holder] = true
+	}
+
+	return names
+}
+
 // answerNeeds returns the held targets, addressed directly to the instances
 // that requested targets recently: those of the backend servers that serve a
 // requested target, and those that have changed since the last answer.
@@ -427,12 +450,14 @@
 	serves := func(h wire.ServerTargets) bool {
 		return slices.ContainsFunc(h.Targets, func(t string) bool { return needed[t] })
 	}
+	noted := make(map[string]wire.ServerTargets, len(own.Held))
 	for _, h := range own.Held {
 		if !equalTargets(v.heldNoted[h.Server], h) || serves(h) {
 			o.b.Held = append(o.b.Held, h)
 		}
-		v.heldNoted[h.Server] = h
+		noted[h.Server] = h
 	}
+	v.heldNoted = noted
 	if len(o.to) == 0 || len(o.b.Held) == 0 {
 		return nil
 	}
--- a/exchange/sums.go
+++ b/exchange/sums.go
@@ -85,18 +85,26 @@
 		for _, n := range b.Needs {
 			t.needs[n] = true
 		}
-		for _, sh := range b.Shards {
-			sh.LeftMS -= ageMS
-			if other, ok := t.shards[sh.Shard]; sh.LeftMS > 0 && (!ok || other.Version <= sh.Version) {
-				t.shards[sh.Shard] = sh
-			}
-		}
 	}
+	t.addShards(b, ageMS)
 	for _, h := range b.Held {
 		t.held[h.Server] = h
 	}
 }
 
+// addShards merges the shards of a bulletin. The latest version of a lease counts.
+func (t *totals) addShards(b *wire.Bulletin, ageMS int) {
+	if ageMS > int(_needsTTL.Milliseconds()) {
+		return
+	}
+	for _, sh := range b.Shards {
+		sh.LeftMS -= ageMS
+		if other, ok := t.shards[sh.Shard]; sh.LeftMS > 0 && (!ok || other.Version <= sh.Version) {
+			t.shards[sh.Shard] = sh
+		}
+	}
+}
+
 // fill writes the totals into a bulletin. A count can be below zero for a
 // moment, when a bulletin is subtracted whose counts the aggregate did not
 // include; it is then treated as zero.
