steward: look for an adapter's server again when an order is answered

One that is asked for while an order to the only server with its model is in flight then waited for the next tick, up to 0.1 s, where the next request had woken it before. TestAnsweredOrderWakes failed. Also: the pauses after ticks and plans have an upper bound, since the time between may be one without the processor; Panicked names the request by its id; the package page of exchange and the order of the events follow the code.

--- a/entry/request.go
+++ b/entry/request.go
@@ -73,8 +73,6 @@
 
 // handle serves one request.
 func (e *Entry) handle(r *hop.Request) {
-	// Without a complete answer the connection is closed, which promises nothing.
-	defer e.cfg.Log.Recover("Request", zap.String("Path", r.Head.Path()))
 	j := &job{
 		e:    e,
 		r:    r,
@@ -84,6 +82,8 @@
 			Limit: e.memory,
 		},
 	}
+	// Without a complete answer the connection is closed, which promises nothing.
+	defer e.cfg.Log.Recover("Request", zap.String("RequestID", j.call.ID))
 	defer j.memory.Release()
 	if !j.admit() {
 		return
--- a/event/entry.go
+++ b/event/entry.go
@@ -23,8 +23,8 @@
 	EvidenceRegained   = declare(6023, "EvidenceRegained", zapcore.InfoLevel, "The configuration is confirmed as current again.")
 	ServerRegistered   = declare(6030, "ServerRegistered", zapcore.InfoLevel, "A backend server's entry is new or has changed.")
 	ServerGone         = declare(6031, "ServerGone", zapcore.InfoLevel, "A backend server's entry was removed; the server gets no new requests.")
-	Panicked           = declare(6040, "Panicked", zapcore.ErrorLevel, "A duty panicked; the process goes on without what it was doing.")
 	ServerUnreadable   = declare(6032, "ServerUnreadable", zapcore.WarnLevel, "A backend server's entry can't be read and describes no usable server.")
+	Panicked           = declare(6040, "Panicked", zapcore.ErrorLevel, "A duty panicked; the process goes on without what it was doing.")
 
 	InstanceHeard   = declare(6100, "InstanceHeard", zapcore.InfoLevel, "A message of another instance arrived, the first one or the first after a silence.")
 	InstanceSilent  = declare(6101, "InstanceSilent", zapcore.WarnLevel, "No message of another instance has arrived for a while.")
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -12,8 +12,8 @@
 // A small number of instances form a full mesh. In larger deployments the
 // instances are grouped by failure domain, and each reports to the two relays
 // of its group. The active relay of a group sends the group's totals to the
-// relays of the other groups, and every relay sends the totals of all groups to
-// its members. Relays follow from the records in the store and from which
+// relays of the other groups, and the totals of all groups to its members; the
+// standby does so for members that don't hear the active one. Relays follow from the records in the store and from which
 // instances respond; there is no election. Requests to the stewards, which give
 // the orders to the backend servers, and their replies bypass the relays.
 package exchange
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -56,8 +56,10 @@
 	_minWakeInterval = 5 * time.Millisecond
 	// _idleFactor is the minimum time between two ticks, or between two plans, as a
 	// multiple of the duration of the last one. It bounds the share of the processor
-	// that they use on slow machines.
-	_idleFactor = 10
+	// that they use on slow machines. It is at most _tickInterval and _maxPlanIdle,
+	// because the process may just have been without the processor for a while.
+	_idleFactor  = 10
+	_maxPlanIdle = 500 * time.Millisecond
 	// _loadBurst is the number of loads from the weight store that one shard
 	// may start at once, or those of _loadBurstTime if that is more.
 	// _loadRateShare is the fraction of the store's rate limit that all shards use
@@ -342,7 +344,7 @@
 
 // RequestTarget asks the steward to load a target that requests wait for. Only
 // the first request for an adapter wakes the steward; what can't be loaded then
-// is tried again at each tick.
+// is tried again when an order has been answered, and at each tick.
 func (s *Steward) RequestTarget(service string, t site.Target, now time.Time) {
 	s.mu.Lock()
 	req, known := s.requested[t]
@@ -355,9 +357,13 @@
 	req.lastAt = now
 	s.requested[t] = req
 	s.mu.Unlock()
-	if known || t.Adapter == "" {
-		return
+	if !known && t.Adapter != "" {
+		s.signal()
 	}
+}
+
+// signal makes run search for servers for the requested adapters.
+func (s *Steward) signal() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -434,7 +440,7 @@
 		began := time.Now()
 		s.tick(began, plan)
 		// Requests that arrive meanwhile are handled together.
-		idle := time.NewTimer(max(_minWakeInterval, _idleFactor*time.Since(began)))
+		idle := time.NewTimer(min(max(_minWakeInterval, _idleFactor*time.Since(began)), _tickInterval))
 		select {
 		case <-s.ctx.Done():
 		case <-idle.C:
@@ -487,7 +493,7 @@
 		if plan {
 			began := time.Now()
 			s.placeModels(service, e, servers, foreign, now)
-			s.nextPlanAt = now.Add(_idleFactor * time.Since(began))
+			s.nextPlanAt = now.Add(min(_idleFactor*time.Since(began), _maxPlanIdle))
 		}
 	}
 }
@@ -561,6 +567,9 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			srv.inFlight = false
+			if len(s.requested) > 0 {
+				s.signal()
+			}
 		}()
 		fn(srv)
 	})
--- a/steward/tick_test.go
+++ b/steward/tick_test.go
@@ -218,6 +218,59 @@
 	}
 }
 
+// TestAnsweredOrderWakes checks that an adapter that is requested while an order to
+// the only server with its model is in flight is loaded once that is answered, and
+// not only at the next tick: a request waits for it.
+func TestAnsweredOrderWakes(t *testing.T) {
+	e := &site.Engine{
+		Slots:        8,
+		WeightsMB:    100,
+		AdapterSlots: 4,
+		Models: map[string]site.Model{
+			"m00": {
+				Name:      "m00",
+				WeightsMB: 45,
+				Adapters:  2,
+			},
+		},
+	}
+	log := &orderLog{}
+	s := newTestSteward(t, e, []string{"a"}, log)
+	s.SetServer(entryWith("s00", "a", "m00"))
+	now := time.Now()
+	s.tick(now, false)
+	s.wg.Wait()
+	report(s, "s00")
+	now = now.Add(_planningDelay)
+	answered := make(chan struct{})
+	s.cfg.SendOrder = func(ctx context.Context, server site.BackendServer, o Order) (Result, error) {
+		<-answered
+
+		return log.send(ctx, server, o)
+	}
+	for _, adapter := range []string{"a1", "a2"} {
+		s.RequestTarget("engines", site.Target{
+			Model:   "m00",
+			Adapter: adapter,
+		}, now)
+		<-s.wake
+		s.tick(now, false)
+	}
+	close(answered)
+	s.wg.Wait()
+	select {
+	case <-s.wake:
+	default:
+		t.Error("the steward doesn't look for the second adapter's server again")
+	}
+	s.tick(now, false)
+	s.wg.Wait()
+	want := []string{"load m00/a1 on s00", "load m00/a2 on s00"}
+	if diff := cmp.Diff(want, log.orders); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
+
 // newLargePlanner returns the planner of one of four shards, with 40 servers that
 // are full and hold three models each, while twice as many models have no copy.
 // Some models are busy.
