entry: keep held traits in the store, so that they outlast all instances

Cause: what is held lived in memory and bulletins; after such a loss nobody is left who knows.

Change: one object among the instances' records, which each instance lists at its start, so that it costs no call there. Probes that were due before a start are left out; the older of two ages of a trait holds.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,10 @@
 	serverChanges *sharedChanges
 	recordChanges *sharedChanges
 	quarantine    *quarantine.Quarantine
-	leaving       atomic.Bool
+	held          heldRecord
+	// heldChanged signals that the set of held traits has changed.
+	heldChanged chan struct{}
+	leaving     atomic.Bool
 	// leavingSince is the time of the shutdown request, by timer.Elapsed.
 	leavingSince atomic.Int64
 	// serversListed is set once the backend servers' entries have been read.
@@ -154,6 +157,7 @@
 		idleTimeouts: map[string]*hop.IdleLimit{},
 		needs:        map[string]time.Time{},
 		boardChanged: make(chan struct{}),
+		heldChanged:  make(chan struct{}, 1),
 		newerVersion: make(chan struct{}),
 		peerDemands:  map[string]peerDemand{},
 		ctx:          ctx,
@@ -174,6 +178,7 @@
 	e.quarantine = quarantine.New(quarantine.Config{
 		Elapsed: timer.Elapsed,
 		Probes:  e.probesTrait,
+		Changed: e.signalHeld,
 		Log:     cfg.Log,
 	})
 	e.evidence.init()
@@ -395,8 +400,8 @@
 	}
 }
 
-// maintain closes idle connections and synchronizes the instance's record, at
-// every _maintenanceInterval.
+// maintain closes idle connections and synchronizes the instance's record and the
+// held traits, at every _maintenanceInterval.
 func (e *Entry) maintain() {
 	ticker := time.NewTicker(_maintenanceInterval)
 	defer ticker.Stop()
@@ -404,6 +409,10 @@
 		select {
 		case <-e.ctx.Done():
 			return
+		case <-e.heldChanged:
+			e.syncHeld()
+
+			continue
 		case <-ticker.C:
 		}
 		e.mu.Lock()
@@ -416,6 +425,7 @@
 			p.Trim()
 		}
 		e.syncOwnRecord()
+		e.syncHeld()
 	}
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -266,9 +266,13 @@
 	}
 	cfg.Revision = object.Version
 	cfg.Index()
-	if current := e.current.Load(); current != nil && current.Version > cfg.Version {
+	current := e.current.Load()
+	if current != nil && current.Version > cfg.Version {
 		return
 	}
+	if current == nil {
+		time.AfterFunc(_heldReadBound, func() { e.held.known.Store(true) })
+	}
 	limits := effectiveLimits(cfg.Limits)
 	e.limits.Store(&limits)
 	e.limiter.SetWorkspaces(cfg.Workspaces, time.Now())
@@ -524,6 +528,11 @@
 		Changed: func(object wire.Object) {
 			e.records.mu.Lock()
 			defer e.records.mu.Unlock()
+			if object.Name == _heldName {
+				e.observeHeld(object, !e.records.listed)
+
+				return
+			}
 			var r wire.EntryRecord
 			if object.Value == "" || json.Unmarshal([]byte(object.Value), &r) != nil {
 				delete(e.records.records, object.Name)
@@ -554,6 +563,7 @@
 		}
 	}
 	e.records.mu.Unlock()
+	e.held.known.Store(true)
 	e.hub.SetRecords(records)
 	e.balancer.SetInstances(len(records), e.hub.CountAge())
 	if !e.hub.FullMesh() {
--- a/entry/request.go
+++ b/entry/request.go
@@ -183,6 +183,11 @@
 
 		return false
 	}
+	if !e.held.known.Load() {
+		j.refuse(503, "NoHeldTraits", retryAfter())
+
+		return false
+	}
 	if j.call.Malformed != "" {
 		j.refuse(400, j.call.Malformed, 0)
 
--- a/event/entry.go
+++ b/event/entry.go
@@ -46,4 +46,8 @@
 	TraitHeld    = declare(6300, "TraitHeld", zapcore.WarnLevel, "What requests on crashed backend servers have in common was found, here or, with 0 crashes, by another instance; requests with it are refused.")
 	TraitCleared = declare(6301, "TraitCleared", zapcore.InfoLevel, "Requests with a held trait are sent again: one was answered whole, or the time is over.")
 	TraitProbed  = declare(6302, "TraitProbed", zapcore.InfoLevel, "One request with a held trait is sent, to see whether it still crashes its backend server.")
+
+	HeldTraitsKept     = declare(6303, "HeldTraitsKept", zapcore.InfoLevel, "The held traits were written to the store, so that they outlast the instances.")
+	HeldTraitsRestored = declare(6304, "HeldTraitsRestored", zapcore.InfoLevel, "Traits that were held by instances before were read from the store at the start.")
+	HeldTraitsFailed   = declare(6305, "HeldTraitsFailed", zapcore.WarnLevel, "The held traits could not be written to the store, or read from it; it is tried again.")
 )
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -7,12 +7,13 @@
 // trait that has been accused by several crashes, about as often as any other and
 // without a whole answer since the first of them, is held: requests that have it are
 // not sent any more. Now and then one such request is sent as a probe, by one of the
-// instances, so that a trait that was held wrongly is cleared. Of several such traits the most specific one is held, because
-// that affects the fewest requests. The other traits are no longer accused by the
-// same crashes then, as these are explained.
+// instances, so that a trait that was held wrongly is cleared. Of several such traits
+// the most specific one is held, because that affects the fewest requests. The other
+// traits are no longer accused by the same crashes then, as these are explained.
 //
 // Instances exchange their findings in their bulletins, because each sees only some
-// of the requests on a server. A finding that arrives twice or late does no harm.
+// of the requests on a server. A finding that arrives twice or late does no harm. The
+// held traits are also to be kept where they outlast all instances, see HeldFindings.
 //
 //	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Log: log})
 //	if trait, left := q.Find(traits); left > 0 { ... } // refuse the request
@@ -78,6 +79,8 @@
 	Elapsed func() time.Duration
 	// Probes reports whether this instance sends the probes for a trait.
 	Probes func(trait int) bool
+	// Changed is called after the set of held traits has changed.
+	Changed func()
 	// Log receives the events.
 	Log *event.Log
 }
@@ -94,6 +97,8 @@
 	held      map[int]hold
 	// undecided is set while a trait could be held once time has passed.
 	undecided bool
+	// changed is set until Changed is called.
+	changed bool
 }
 
 // crash is the end of a backend server.
@@ -132,6 +137,22 @@
 	interval time.Duration
 }
 
+// newHold returns a hold of a trait. Probes that were due before, at another instance
+// or an earlier start, are left out.
+func newHold(since, now time.Duration) hold {
+	h := hold{
+		since:    since,
+		probeAt:  since + _probeInterval,
+		interval: _probeInterval,
+	}
+	for h.probeAt <= now {
+		h.interval *= 2
+		h.probeAt += h.interval
+	}
+
+	return h
+}
+
 // New returns a Quarantine that holds nothing.
 func New(cfg Config) *Quarantine {
 	return &Quarantine{
@@ -181,6 +202,16 @@
 	return slices.Sorted(maps.Keys(q.held))
 }
 
+// unlock unlocks q.mu, and calls Changed if the set of held traits has changed.
+func (q *Quarantine) unlock() {
+	changed := q.changed
+	q.changed = false
+	q.mu.Unlock()
+	if changed {
+		q.cfg.Changed()
+	}
+}
+
 // Crashed records that the connection to a backend server broke while a request
 // with these traits ran there.
 func (q *Quarantine) Crashed(server string, traits []int) {
@@ -188,7 +219,7 @@
 		return
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.cfg.Elapsed()
 	q.dropExpired(now)
 	for depth, t := range traits {
@@ -206,7 +237,7 @@
 		return
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.cfg.Elapsed()
 	for _, t := range traits {
 		q.clear(t, now, true, now)
@@ -217,7 +248,7 @@
 // includes those of other instances.
 func (q *Quarantine) Snapshot(forward bool) wire.CrashFindings {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.cfg.Elapsed()
 	q.dropExpired(now)
 	if q.undecided {
@@ -249,8 +280,23 @@
 			out.Completed = append(out.Completed, newFinding(t, done.at, now))
 		}
 	}
-	for t, h := range q.held {
-		out.Held = append(out.Held, newFinding(t, h.since, now))
+	out.Held = q.findHeld(now)
+
+	return out
+}
+
+// HeldFindings returns the held traits in ascending order, with their ages.
+func (q *Quarantine) HeldFindings() []wire.TraitFinding {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.findHeld(q.cfg.Elapsed())
+}
+
+func (q *Quarantine) findHeld(now time.Duration) []wire.TraitFinding {
+	out := make([]wire.TraitFinding, 0, len(q.held))
+	for _, t := range slices.Sorted(maps.Keys(q.held)) {
+		out = append(out, newFinding(t, q.held[t].since, now))
 	}
 
 	return out
@@ -269,7 +315,7 @@
 		return
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.cfg.Elapsed()
 	q.dropExpired(now)
 	for _, done := range f.Completed {
@@ -359,6 +405,7 @@
 	}
 	if h, ok := q.held[trait]; ok && h.since < at {
 		delete(q.held, trait)
+		q.changed = true
 		done.reportedAt = now
 		q.cfg.Log.Write(event.TraitCleared, zap.Int("Trait", trait), zap.Duration("HeldFor", now-h.since), zap.Bool("Own", own))
 	}
@@ -456,15 +503,16 @@
 
 		return false
 	}
-	if _, ok := q.held[trait]; !ok {
+	if h, ok := q.held[trait]; ok {
+		// A trait that was restored from the store seems younger than it is.
+		h.since = min(h.since, since)
+		q.held[trait] = h
+	} else {
 		if len(q.held) >= _maxHeld || now-since >= _holdDuration {
 			return false
 		}
-		q.held[trait] = hold{
-			since:    since,
-			probeAt:  since + _probeInterval,
-			interval: _probeInterval,
-		}
+		q.held[trait] = newHold(since, now)
+		q.changed = true
 		q.cfg.Log.Write(event.TraitHeld, zap.Int("Trait", trait), zap.Int("Crashes", crashes), zap.Duration("Since", now-since))
 	}
 	for _, c := range q.crashes {
@@ -481,6 +529,7 @@
 	for t, h := range q.held {
 		if now-h.since >= _holdDuration {
 			delete(q.held, t)
+			q.changed = true
 			q.cfg.Log.Write(event.TraitCleared, zap.Int("Trait", t), zap.Duration("HeldFor", now-h.since), zap.Bool("Own", false))
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -37,6 +37,8 @@
 	mail      []simMail
 	nextSend  time.Duration
 	crashes   []time.Duration
+	// kept are the held traits as they were last written to the store.
+	kept []wire.TraitFinding
 	// deadlySent are the times of the runs with _testDeadly. sound and refused count
 	// the other requests by workspace, and those of them that were held.
 	deadlySent     []time.Duration
@@ -78,6 +80,8 @@
 	together time.Duration
 	loss     float64
 	lag      time.Duration
+	// restarts is the interval at which all instances end at once and start again.
+	restarts time.Duration
 }
 
 func newSimulation(p simPlan) *simulation {
@@ -88,14 +92,25 @@
 		lag:     p.lag,
 		servers: make([]simServer, p.servers),
 	}
+	sim.restart(p)
+
+	return sim
+}
+
+// restart starts all instances, which know only what was kept.
+func (sim *simulation) restart(p simPlan) {
+	sim.instances, sim.runs, sim.mail = nil, nil, nil
 	for i := range p.instances {
-		sim.instances = append(sim.instances, New(Config{
+		q := New(Config{
 			Elapsed: func() time.Duration { return sim.now },
 			Probes:  func(trait int) bool { return trait%p.instances == i },
-		}))
+			Changed: func() { sim.kept = sim.instances[i].HeldFindings() },
+		})
+		sim.instances = append(sim.instances, q)
+	}
+	for _, q := range sim.instances {
+		q.Receive(wire.CrashFindings{Held: sim.kept})
 	}
-
-	return sim
 }
 
 func (sim *simulation) name(server int) string {
@@ -118,7 +133,7 @@
 }
 
 func (sim *simulation) run(p simPlan, d time.Duration) {
-	lastLoss := sim.now
+	lastLoss, lastRestart := sim.now, sim.now
 	for end := sim.now + d; sim.now < end; sim.now += _testStep {
 		if sim.rng.Float64() < p.perSecond*_testStep.Seconds() {
 			sim.arrive(p)
@@ -132,6 +147,10 @@
 				sim.crash(i)
 			}
 		}
+		if p.restarts > 0 && sim.now-lastRestart >= p.restarts {
+			lastRestart = sim.now
+			sim.restart(p)
+		}
 		sim.advance()
 		sim.exchange()
 	}
@@ -303,6 +322,30 @@
 			},
 			wantHeld: []int{_testDeadly},
 		},
+		{
+			name: "all instances end together, now and then",
+			give: simPlan{
+				instances:  8,
+				servers:    12,
+				workspaces: 5,
+				perSecond:  70,
+				deadly:     0.15,
+				restarts:   6 * time.Second,
+			},
+			wantHeld: []int{_testDeadly},
+		},
+		{
+			name: "all instances end together before anything is held",
+			give: simPlan{
+				instances:  8,
+				servers:    12,
+				workspaces: 5,
+				perSecond:  70,
+				deadly:     0.15,
+				restarts:   1300 * time.Millisecond,
+			},
+			wantHeld: []int{_testDeadly},
+		},
 		{
 			name: "crashes of other causes alone",
 			give: simPlan{
@@ -354,6 +397,7 @@
 	return New(Config{
 		Elapsed: func() time.Duration { return now },
 		Probes:  func(trait int) bool { return trait == _testProbed },
+		Changed: func() {},
 	}), &now
 }
 
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -140,6 +140,14 @@
 	SentMS int `json:"SentMS"`
 }
 
+// HeldTraits is the object in the store by which held traits outlast all
+// instances.
+type HeldTraits struct {
+	// Held are traits of requests that are not sent, with the age of the first crash
+	// when this was written.
+	Held []TraitFinding `json:"Held"`
+}
+
 type ListedInstance struct {
 	// Leaving says that callers should not be sent there any more.
 	Leaving bool `json:"Leaving"`
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -1080,6 +1080,113 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HeldTraits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Held"
+	o = append(o, 0x81, 0xa4, 0x48, 0x65, 0x6c, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Held)))
+	for za0001 := range z.Held {
+		// map header, size 2
+		// string "AgeMS"
+		o = append(o, 0x82, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
+		o = msgp.AppendInt(o, z.Held[za0001].AgeMS)
+		// string "Trait"
+		o = append(o, 0xa5, 0x54, 0x72, 0x61, 0x69, 0x74)
+		o = msgp.AppendInt(o, z.Held[za0001].Trait)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeldTraits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Held":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+			if zb0002 > z8e64899elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Held) >= int(zb0002) {
+				z.Held = (z.Held)[:zb0002]
+			} else {
+				z.Held = make([]TraitFinding, zb0002)
+			}
+			for za0001 := range z.Held {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Held", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "AgeMS":
+						z.Held[za0001].AgeMS, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Held", za0001, "AgeMS")
+							return
+						}
+					case "Trait":
+						z.Held[za0001].Trait, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Held", za0001, "Trait")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Held", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HeldTraits) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Held) * (13 + msgp.IntSize + msgp.IntSize))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ListedInstance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
