quarantine: hold a trait only once all findings about its crashes have arrived

Cause: each instance decided as soon as it knew of the third crash. Only the one that sent the request knows all its traits then; to the others the deadly one has two crashes, and what else ran on the server three.

TestHold, third crash found before its sender's bulletin: holds the wrong trait without the wait.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,6 +178,7 @@
 	e.quarantine = quarantine.New(quarantine.Config{
 		Elapsed: timer.Elapsed,
 		Probes:  e.probesTrait,
+		Spread:  func() time.Duration { return 2 * e.hub.CountAge() },
 		Changed: e.signalHeld,
 		Log:     cfg.Log,
 	})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -15,7 +15,7 @@
 // of the requests on a server. A finding that arrives twice or late does no harm. The
 // held traits are also to be kept where they outlast all instances, see HeldFindings.
 //
-//	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Log: log})
+//	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Spread: spread, Log: log})
 //	if trait, left := q.Find(traits); left > 0 { ... } // refuse the request
 //	q.Crashed(server, traits) // its connection broke while the request ran
 //	q.Completed(traits)       // it was answered whole
@@ -79,6 +79,8 @@
 	Elapsed func() time.Duration
 	// Probes reports whether this instance sends the probes for a trait.
 	Probes func(trait int) bool
+	// Spread returns the time that findings need to reach all instances.
+	Spread func() time.Duration
 	// Changed is called after the set of held traits has changed.
 	Changed func()
 	// Log receives the events.
@@ -426,20 +428,30 @@
 	maps.DeleteFunc(q.completed, func(_ int, done completion) bool { return now-done.at >= median })
 }
 
-// tally counts the crashes that accuse a trait. depth is its greatest one.
+// tally counts the crashes that accuse a trait. depth is its greatest one, and
+// reached the time of the crash from which on there are enough to hold it.
 type tally struct {
 	crashes     int
 	depth       int
 	first, last time.Duration
+	reached     time.Duration
+}
+
+// settled reports whether whole answers have had time to clear the trait, and the
+// findings of all instances about the decisive crash time to arrive: an instance
+// that doesn't know all of them would hold what else ran on the server.
+func (t tally) settled(now, spread time.Duration) bool {
+	return now-t.first >= _settleTime && now-t.reached >= spread
 }
 
 // decide holds the traits that explain crashes.
 func (q *Quarantine) decide(now time.Duration) {
+	spread := q.cfg.Spread()
 	for {
 		tallies := q.count()
 		accused := explaining(tallies)
 		q.undecided = len(accused) > 0
-		settled := slices.DeleteFunc(slices.Clone(accused), func(trait int) bool { return now-tallies[trait].first < _settleTime })
+		settled := slices.DeleteFunc(slices.Clone(accused), func(trait int) bool { return !tallies[trait].settled(now, spread) })
 		if len(settled) == 0 || len(accused) > 1 && tallies[accused[0]].crashes < _minCrashesTied {
 			return
 		}
@@ -486,6 +498,9 @@
 			if !ok || c.at-t.last >= _separation {
 				t.crashes++
 				t.last = c.at
+				if t.crashes == _minCrashes {
+					t.reached = c.at
+				}
 			}
 			tallies[trait] = t
 		}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -104,6 +104,7 @@
 		q := New(Config{
 			Elapsed: func() time.Duration { return sim.now },
 			Probes:  func(trait int) bool { return trait%p.instances == i },
+			Spread:  func() time.Duration { return _testBulletin + sim.lag },
 			Changed: func() { sim.kept = sim.instances[i].HeldFindings() },
 		})
 		sim.instances = append(sim.instances, q)
@@ -397,6 +398,7 @@
 	return New(Config{
 		Elapsed: func() time.Duration { return now },
 		Probes:  func(trait int) bool { return trait == _testProbed },
+		Spread:  func() time.Duration { return _testBulletin },
 		Changed: func() {},
 	}), &now
 }
@@ -489,6 +491,31 @@
 			},
 			want: []int{1},
 		},
+		{
+			// Only the instance that sent the request knows all traits of the third crash.
+			name: "the third crash is found here before its sender's bulletin",
+			give: func(q *Quarantine, now *time.Duration) {
+				report := func(server string) {
+					q.Receive(wire.CrashFindings{Crashes: []wire.ServerCrash{{
+						Server: server,
+						AgeMS:  100,
+						Traits: []int{1, 2},
+						Depths: []int{0, 1},
+					}}})
+				}
+				report("a")
+				*now += _settleTime
+				report("b")
+				*now += _settleTime
+				q.Crashed("c", []int{1})
+				q.Snapshot(true)
+				*now += 100 * time.Millisecond
+				report("c")
+				*now += _testBulletin
+				q.Snapshot(true)
+			},
+			want: []int{2},
+		},
 		{
 			name: "over",
 			give: func(q *Quarantine, now *time.Duration) {
