dispatch: keep the limit that a backend server names, all instances together

Change: what a server asks for is kept by its id and start, and sent on in bulletins. The first 3 + 2 x limit instances of a server's own order send to it, each with an even part of the rate and one request ahead: 6 x limit + 3 in 4 s, of 6 x limit + 5. Choice, Retry-After and the planner see that it has no place. Values that can't be read have no effect.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -83,6 +83,9 @@
 	// Avoided reports whether the chosen backend server is being avoided after
 	// failures, and was chosen because no other was available.
 	Avoided bool
+	// Wait is the time after which a backend server that would have room now is
+	// likely to accept a request; 0 if there is none.
+	Wait time.Duration
 }
 
 // server is the state of one backend server.
@@ -108,6 +111,7 @@
 	// latencyRatio is the smoothed ratio of the backend server's latency to the
 	// mean latency of the model or service.
 	latencyRatio float64
+	advice       *advice
 }
 
 // peerLoad holds the number of requests that another instance runs on each
@@ -138,6 +142,13 @@
 	countAge time.Duration
 	// salt makes the ranks of backend servers differ from those of other instances.
 	salt string
+	// advice holds what backend servers ask of their callers, by ID.
+	advice map[string]*advice
+	// name and others are the instances that send requests, this one and the others.
+	// membersVersion rises with each change of them and is 0 while they are unknown.
+	name           string
+	others         []string
+	membersVersion int
 }
 
 // New returns a Balancer without backend servers. It uses rng to break ties.
@@ -151,6 +162,7 @@
 		budgets:       map[string]*budget{},
 		meanLatencies: map[string]float64{},
 		meanDurations: map[string]float64{},
+		advice:        map[string]*advice{},
 		limits:        limits,
 		salt:          strconv.FormatUint(rng.Uint64(), 16),
 	}
@@ -172,6 +184,9 @@
 			rank:         float64(xxhash.Sum64String(b.salt+entry.ID)) / math.MaxUint64,
 		}
 		b.servers[entry.ID] = s
+		if s.advice = b.adviceOf(entry.ID, entry.Born); s.advice == nil {
+			s.advice = &advice{born: entry.Born}
+		}
 	}
 	s.entry = entry
 	s.gone = false
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -29,6 +29,7 @@
 	*server
 	load    int
 	avoided bool
+	limited bool
 	rank    float64
 	score   float64
 }
@@ -49,6 +50,9 @@
 		n *= 2
 	}
 	best := b.pick(candidates[:min(n, len(candidates))], req)
+	if best.limited {
+		best.advice.limit.tokens--
+	}
 	entry := best.entry
 	choice.Server = &entry
 	choice.Reason = ReasonNone
@@ -68,14 +72,16 @@
 
 // candidates returns the backend servers that can run a request, and the reason if
 // there are none. One that is avoided is a candidate only if there is no other:
-// when all are failing, the few that succeed are better than none.
+// when all are failing, the few that succeed are better than none. One with a limit is
+// a candidate if the others have no room, so that what it takes is left for what only
+// it serves, or if its last answer is so old that the limit may have ended.
 func (b *Balancer) candidates(req Request, now time.Time) (Choice, []candidate) {
 	text := ""
 	if req.Target.Model != "" {
 		text = req.Target.String()
 	}
 	choice := Choice{Reason: ReasonNoServer}
-	var healthy, avoided []candidate
+	var healthy, limited, avoided []candidate
 	for _, s := range b.services[req.Service] {
 		if s.entry.Draining || s.gone || contains(req.Exclude, s.entry.ID) {
 			continue
@@ -89,6 +95,7 @@
 			server:  s,
 			load:    s.running + b.peerLoads[s.entry.ID],
 			avoided: s.health.avoided(now),
+			limited: s.advice.limit.active,
 			rank:    s.rank,
 		}
 		if float64(c.load) >= maxLoad(s.entry.Slots, req) {
@@ -96,15 +103,30 @@
 
 			continue
 		}
+		if wait := b.untilAllowed(s, now); wait > 0 {
+			choice.Reason = moreSpecific(choice.Reason, ReasonFull)
+			if choice.Wait == 0 || wait < choice.Wait {
+				choice.Wait = wait
+			}
+
+			continue
+		}
 		if s.entry.FailureDomain == req.FailureDomain {
 			c.rank *= _sameDomainRank
 		}
-		if c.avoided {
+		switch {
+		case c.avoided:
 			avoided = append(avoided, c)
-		} else {
+		case c.limited:
+			limited = append(limited, c)
+		default:
 			healthy = append(healthy, c)
 		}
 	}
+	if hasRoom(healthy) {
+		limited = slices.DeleteFunc(limited, func(c candidate) bool { return now.Sub(c.advice.limit.at) < _limitCheckInterval })
+	}
+	healthy = append(healthy, limited...)
 	if len(healthy) == 0 {
 		return choice, avoided
 	}
--- /dev/null
+++ b/entry/advice.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayastair.dev/papayastair/event"
+	"papayastair.dev/papayastair/site"
+	"papayastair.dev/papayastair/timer"
+	"papayastair.dev/papayastair/wire"
+)
+
+// _memberRetention is how long an instance that isn't heard still counts as one that
+// sends requests to a backend server with a limit: it may have sent some lately, and
+// may still do so.
+const _memberRetention = 4 * time.Second
+
+// advise applies what a backend server asks of its callers in an answer.
+func (e *Entry) advise(server string, answer Answer) {
+	if e.balancer.Advise(server, answer.Advice, answer.Signed, time.Now()) {
+		e.logAdvice(server, answer.Advice, true, 0)
+	}
+}
+
+// shareAdvice returns what backend servers ask of all instances, for a bulletin, and
+// updates which instances share their limits.
+func (e *Entry) shareAdvice(forward bool, now time.Time) []wire.ServerAdvice {
+	if e.balancer.HasLimits() {
+		others := []string{}
+		for _, i := range e.hub.Instances() {
+			if i.Alive || i.Silent >= 0 && i.Silent < _memberRetention {
+				others = append(others, i.Name)
+			}
+		}
+		e.balancer.SetMembers(e.cfg.Settings.Name, others)
+	}
+
+	return e.balancer.Advice(forward, now)
+}
+
+// receiveAdvice applies what backend servers ask according to another instance.
+func (e *Entry) receiveAdvice(received []wire.ServerAdvice, now time.Time) {
+	for _, a := range e.balancer.ReceiveAdvice(received, now) {
+		e.logAdvice(a.Server, site.Advice{
+			Limited:   a.Limited,
+			PerSecond: a.PerSecond,
+		}, false, time.Duration(a.AgeMS)*time.Millisecond)
+	}
+}
+
+func (e *Entry) logAdvice(server string, a site.Advice, own bool, age time.Duration) {
+	e.cfg.Log.Write(event.ServerAdvised, zap.String("Server", server), zap.Bool("Limited", a.Limited), zap.Float64("PerSecond", a.PerSecond),
+		zap.String("Unreadable", a.Unreadable), zap.Bool("Own", own), zap.Duration("Age", age), zap.Duration("Up", timer.Elapsed()-e.startedAt))
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -166,6 +166,9 @@
 
 		return a.noAnswer(err)
 	}
+	if answer.ID == j.call.ID {
+		j.e.advise(a.choice.Server.ID, answer)
+	}
 	a.firstLatency = time.Since(a.sentAt)
 	if !answer.Events {
 		j.e.balancer.ResponseStarted(a.run)
--- a/entry/bulletin.go
+++ b/entry/bulletin.go
@@ -192,6 +192,7 @@
 		b.RecordChanges = e.recordChanges.snapshot(now)
 	}
 	b.Findings = e.quarantine.Snapshot(includeChanges)
+	b.Advice = e.shareAdvice(includeChanges, now)
 	b.Shards, b.Held = e.steward.Snapshot()
 	e.applyHeld(b.Held)
 
@@ -217,6 +218,7 @@
 	}
 	e.setForeignHeld(b.Held, now)
 	e.quarantine.Receive(b.Findings)
+	e.receiveAdvice(b.Advice, now)
 	e.updateNewestVersion(b.Version)
 	if b.ServerChanges.UpTo > 0 {
 		e.serverChanges.receive(b.ServerChanges, checkedAt(b.ServerChanges, b.SentMS, notBefore))
--- a/entry/codec.go
+++ b/entry/codec.go
@@ -62,6 +62,8 @@
 	Encoded bool
 	// Events reports whether the body is a stream of events.
 	Events bool
+	// Advice is what the backend server asks of its callers.
+	Advice site.Advice
 }
 
 // Codec decodes and encodes the messages of callers, backend servers and the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -245,6 +245,7 @@
 		Holder:    s.Name,
 		Engine:    e.engine,
 		Down:      func(id string) bool { return e.balancer.Down(id, time.Now()) },
+		Limited:   e.balancer.Limited,
 		SendOrder: e.cfg.SendOrder,
 		Report:    e.cfg.Report,
 		Changed:   e.pushHeld,
--- a/entry/request.go
+++ b/entry/request.go
@@ -467,7 +467,7 @@
 	}
 	room, lacking := j.untilRoom(choice.Reason)
 	j.refund()
-	j.refuse(503, "NoPlace."+string(choice.Reason), retryAfter()+room, zap.Duration("Lacking", lacking))
+	j.refuse(503, "NoPlace."+string(choice.Reason), retryAfter()+max(room, choice.Wait), zap.Duration("Lacking", lacking), zap.Duration("ServerWait", choice.Wait))
 }
 
 // untilRoom returns the time until there is likely room for the request, beside the
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -537,6 +537,7 @@
 		ServerChanges: own.ServerChanges,
 		RecordChanges: own.RecordChanges,
 		Findings:      own.Findings,
+		Advice:        own.Advice,
 		Scope:         scope,
 	}
 }
@@ -547,6 +548,7 @@
 	b.ServerChanges = wire.StoreChanges{}
 	b.RecordChanges = wire.StoreChanges{}
 	b.Findings = wire.CrashFindings{}
+	b.Advice = nil
 
 	return b
 }
--- a/site/server.go
+++ b/site/server.go
@@ -61,6 +61,17 @@
 	OnDisk   []string
 }
 
+// Advice is what a backend server asks of its callers in an answer.
+type Advice struct {
+	// Limited reports whether it sets a limit, PerSecond, on the requests that it takes
+	// from all instances together, until an answer doesn't.
+	Limited   bool
+	PerSecond float64
+	// Unreadable names what it asks for that can't be read, and that has no effect;
+	// empty if there is nothing.
+	Unreadable string
+}
+
 // Target is a model or one of its adapters.
 type Target struct {
 	// Model is the model's name.
--- a/steward/handover_test.go
+++ b/steward/handover_test.go
@@ -61,6 +61,7 @@
 		Holder:  "instance-2",
 		Engine:  func(string) *site.Engine { return e },
 		Down:    func(string) bool { return false },
+		Limited: func(string) bool { return false },
 		SendOrder: func(ctx context.Context, server site.BackendServer, o Order) (Result, error) {
 			if _, ok := lease.MayOrder(); !ok {
 				t.Errorf("an order %v after the lease was acquired", elapsed-acquired)
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -322,11 +322,11 @@
 }
 
 // countCopies counts the copies of each model over all shards, including those
-// being loaded, on servers that aren't draining or down.
+// being loaded, on servers that aren't draining, down or limited.
 func (p *planner) countCopies() map[string]int {
 	own := map[string]int{}
 	for _, s := range p.servers {
-		if s.entry.Draining || s.down {
+		if s.entry.Draining || s.down || s.limited {
 			continue
 		}
 		for model := range s.adapters {
@@ -485,11 +485,11 @@
 	return s.synced && !s.entry.Draining && !s.down && !s.changingModel() && !s.inFlight && !p.now.Before(s.backoffUntil)
 }
 
-// listAccepting lists the servers that accept orders and are not reserved.
+// listAccepting lists the servers that accept orders and are not reserved or limited.
 func (p *planner) listAccepting(copies map[string]int) {
 	p.accepting = p.accepting[:0]
 	for _, s := range p.servers {
-		if p.acceptsOrder(s) && s.reservedFor == "" {
+		if p.acceptsOrder(s) && s.reservedFor == "" && !s.limited {
 			a := acceptingServer{
 				serverState: s,
 				freeMB:      s.freeBesides(p.engine, p.models().reserveMB),
--- a/steward/plan_test.go
+++ b/steward/plan_test.go
@@ -43,6 +43,20 @@
 	return p
 }
 
+// TestPlannerLimited guards against a model whose only copy is on a server that takes
+// hardly any requests: another copy is loaded, and none on such a server.
+func TestPlannerLimited(t *testing.T) {
+	p := newTestPlanner([]string{"m00", "m01"}, []string{"m02"}, []string{"m03"})
+	p.servers[0].limited = true
+	p.servers[1].limited = true
+	p.demands["m00"] = &demandEstimate{}
+	p.demands["m00"].update(Demand{Requests: 3}, p.now)
+	c, ok := p.next()
+	if !ok || !c.load || c.model != "m00" || c.server != p.servers[2] {
+		t.Errorf("change %+v, %v; want m00 loaded on s2", c, ok)
+	}
+}
+
 // TestPlannerNext checks the next change in one shard.
 func TestPlannerNext(t *testing.T) {
 	tests := []struct {
--- a/steward/release_test.go
+++ b/steward/release_test.go
@@ -100,7 +100,8 @@
 
 			return &site.Engine{Slots: 1}
 		},
-		Down: func(string) bool { return false },
+		Down:    func(string) bool { return false },
+		Limited: func(string) bool { return false },
 		Report: func(context.Context, site.BackendServer) (site.Report, error) {
 			return site.Report{}, context.DeadlineExceeded
 		},
--- a/steward/server.go
+++ b/steward/server.go
@@ -12,8 +12,10 @@
 // and the orders sent since.
 type serverState struct {
 	entry site.BackendServer
-	// down is set while connections to the backend server fail.
-	down bool
+	// down is set while connections to the backend server fail, and limited while it
+	// takes so few requests that its copies don't count.
+	down    bool
+	limited bool
 	// synced is set once a report was read since this instance became the
 	// steward or the backend server started. While it is unset, no orders are
 	// sent.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -123,6 +123,9 @@
 	Engine func(service string) *site.Engine
 	// Down reports whether connections to a backend server fail.
 	Down func(id string) bool
+	// Limited reports whether a backend server takes so few requests that its copies
+	// don't count.
+	Limited func(id string) bool
 	// SendOrder sends an order.
 	SendOrder func(ctx context.Context, server site.BackendServer, o Order) (Result, error)
 	// Report reads the report of a backend server.
@@ -482,6 +485,7 @@
 			continue
 		}
 		srv.down = s.cfg.Down(id)
+		srv.limited = s.cfg.Limited(id)
 		services[srv.entry.Service] = append(services[srv.entry.Service], srv)
 		if !srv.inFlight && (!srv.synced && !now.Before(srv.backoffUntil) || srv.changingModel() && !now.Before(srv.pollAt)) {
 			s.startTask(srv, s.readReport)
@@ -549,7 +553,7 @@
 func (s *Steward) foreignServers(service string, now time.Time) []foreignServer {
 	var out []foreignServer
 	for id, srv := range s.servers {
-		if srv.entry.Service != service || srv.entry.Draining || s.shards[s.shardOf(&srv.entry)].active || s.cfg.Down(id) {
+		if srv.entry.Service != service || srv.entry.Draining || s.shards[s.shardOf(&srv.entry)].active || s.cfg.Down(id) || s.cfg.Limited(id) {
 			continue
 		}
 		f := foreignServer{
@@ -745,7 +749,7 @@
 		for _, srv := range servers {
 			if s.shardOf(&srv.entry) == shard {
 				p.servers = append(p.servers, srv)
-			} else if !srv.entry.Draining && !srv.down {
+			} else if !srv.entry.Draining && !srv.down && !srv.limited {
 				p.addCopies(slices.Index(managed, s.shardOf(&srv.entry)), srv.plannedModels())
 			}
 		}
--- a/steward/tick_test.go
+++ b/steward/tick_test.go
@@ -45,6 +45,7 @@
 		Holder:    "instance-1",
 		Engine:    func(string) *site.Engine { return e },
 		Down:      func(string) bool { return false },
+		Limited:   func(string) bool { return false },
 		SendOrder: log.send,
 		Report: func(context.Context, site.BackendServer) (site.Report, error) {
 			return site.Report{}, errors.New("no report yet")
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -8,6 +8,9 @@
 	// Address is the IP:port for bulletins.
 	Address string `json:"Address"`
 
+	// Advice is what backend servers ask of the callers of all instances.
+	Advice []ServerAdvice `json:"Advice"`
+
 	// Asked is how much each workspace asks for at the sender.
 	Asked []WorkspaceRate `json:"Asked"`
 
@@ -156,6 +159,24 @@
 	Name string `json:"Name"`
 }
 
+type ServerAdvice struct {
+	// AgeMS is the time since the latest answer that shows this.
+	AgeMS int `json:"AgeMS"`
+
+	// Born distinguishes starts under the same id.
+	Born int `json:"Born"`
+
+	// Limited says that the server sets a limit on the requests of all instances
+	// together; if unset it no longer does.
+	Limited bool `json:"Limited"`
+
+	// PerSecond is that limit, in requests per second.
+	PerSecond float64 `json:"PerSecond"`
+
+	// Server is the backend server's id.
+	Server string `json:"Server"`
+}
+
 type ServerCount struct {
 	// Count is the number of requests.
 	Count int `json:"Count"`
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -14,24 +14,34 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Bulletin) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 22
+	// map header, size 23
 	// string "Address"
-	o = append(o, 0xde, 0x0, 0x16, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0xde, 0x0, 0x17, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
+	// string "Advice"
+	o = append(o, 0xa6, 0x41, 0x64, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Advice)))
+	for za0001 := range z.Advice {
+		o, err = z.Advice[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Advice", za0001)
+			return
+		}
+	}
 	// string "Asked"
 	o = append(o, 0xa5, 0x41, 0x73, 0x6b, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Asked)))
-	for za0001 := range z.Asked {
+	for za0002 := range z.Asked {
 		// map header, size 3
 		// string "PerSecond"
 		o = append(o, 0x83, 0xa9, 0x50, 0x65, 0x72, 0x53, 0x65, 0x63, 0x6f, 0x6e, 0x64)
-		o = msgp.AppendFloat64(o, z.Asked[za0001].PerSecond)
+		o = msgp.AppendFloat64(o, z.Asked[za0002].PerSecond)
 		// string "Spent"
 		o = append(o, 0xa5, 0x53, 0x70, 0x65, 0x6e, 0x74)
-		o = msgp.AppendFloat64(o, z.Asked[za0001].Spent)
+		o = msgp.AppendFloat64(o, z.Asked[za0002].Spent)
 		// string "Workspace"
 		o = append(o, 0xa9, 0x57, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Asked[za0001].Workspace)
+		o = msgp.AppendString(o, z.Asked[za0002].Workspace)
 	}
 	// string "CallerAddress"
 	o = append(o, 0xad, 0x43, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
@@ -39,10 +49,10 @@
 	// string "Demand"
 	o = append(o, 0xa6, 0x44, 0x65, 0x6d, 0x61, 0x6e, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-	for za0002 := range z.Demand {
-		o, err = z.Demand[za0002].MarshalMsg(o)
+	for za0003 := range z.Demand {
+		o, err = z.Demand[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0002)
+			err = msgp.WrapError(err, "Demand", za0003)
 			return
 		}
 	}
@@ -62,25 +72,25 @@
 	// string "Heard"
 	o = append(o, 0xa5, 0x48, 0x65, 0x61, 0x72, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Heard)))
-	for za0003 := range z.Heard {
+	for za0004 := range z.Heard {
 		// map header, size 3
 		// string "HeldMS"
 		o = append(o, 0x83, 0xa6, 0x48, 0x65, 0x6c, 0x64, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Heard[za0003].HeldMS)
+		o = msgp.AppendInt(o, z.Heard[za0004].HeldMS)
 		// string "Name"
 		o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Heard[za0003].Name)
+		o = msgp.AppendString(o, z.Heard[za0004].Name)
 		// string "SentMS"
 		o = append(o, 0xa6, 0x53, 0x65, 0x6e, 0x74, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Heard[za0003].SentMS)
+		o = msgp.AppendInt(o, z.Heard[za0004].SentMS)
 	}
 	// string "Held"
 	o = append(o, 0xa4, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Held)))
-	for za0004 := range z.Held {
-		o, err = z.Held[za0004].MarshalMsg(o)
+	for za0005 := range z.Held {
+		o, err = z.Held[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Held", za0004)
+			err = msgp.WrapError(err, "Held", za0005)
 			return
 		}
 	}
@@ -90,14 +100,14 @@
 	// string "Members"
 	o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0005 := range z.Members {
+	for za0006 := range z.Members {
 		// map header, size 2
 		// string "Leaving"
 		o = append(o, 0x82, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-		o = msgp.AppendBool(o, z.Members[za0005].Leaving)
+		o = msgp.AppendBool(o, z.Members[za0006].Leaving)
 		// string "Name"
 		o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Members[za0005].Name)
+		o = msgp.AppendString(o, z.Members[za0006].Name)
 	}
 	// string "Name"
 	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
@@ -105,8 +115,8 @@
 	// string "Needs"
 	o = append(o, 0xa5, 0x4e, 0x65, 0x65, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Needs)))
-	for za0006 := range z.Needs {
-		o = msgp.AppendString(o, z.Needs[za0006])
+	for za0007 := range z.Needs {
+		o = msgp.AppendString(o, z.Needs[za0007])
 	}
 	// string "RecordChanges"
 	o = append(o, 0xad, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
@@ -118,14 +128,14 @@
 	// string "Running"
 	o = append(o, 0xa7, 0x52, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
-	for za0007 := range z.Running {
+	for za0008 := range z.Running {
 		// map header, size 2
 		// string "Count"
 		o = append(o, 0x82, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-		o = msgp.AppendInt(o, z.Running[za0007].Count)
+		o = msgp.AppendInt(o, z.Running[za0008].Count)
 		// string "Server"
 		o = append(o, 0xa6, 0x53, 0x65, 0x72, 0x76, 0x65, 0x72)
-		o = msgp.AppendString(o, z.Running[za0007].Server)
+		o = msgp.AppendString(o, z.Running[za0008].Server)
 	}
 	// string "Scope"
 	o = append(o, 0xa5, 0x53, 0x63, 0x6f, 0x70, 0x65)
@@ -143,10 +153,10 @@
 	// string "Shards"
 	o = append(o, 0xa6, 0x53, 0x68, 0x61, 0x72, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Shards)))
-	for za0008 := range z.Shards {
-		o, err = z.Shards[za0008].MarshalMsg(o)
+	for za0009 := range z.Shards {
+		o, err = z.Shards[za0009].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Shards", za0008)
+			err = msgp.WrapError(err, "Shards", za0009)
 			return
 		}
 	}
@@ -186,59 +196,82 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "Asked":
+		case "Advice":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Asked")
+				err = msgp.WrapError(err, "Advice")
 				return
 			}
 			if zb0002 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Asked) >= int(zb0002) {
-				z.Asked = (z.Asked)[:zb0002]
+			if cap(z.Advice) >= int(zb0002) {
+				z.Advice = (z.Advice)[:zb0002]
 			} else {
-				z.Asked = make([]WorkspaceRate, zb0002)
+				z.Advice = make([]ServerAdvice, zb0002)
 			}
-			for za0001 := range z.Asked {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Advice {
+				bts, err = z.Advice[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Asked", za0001)
+					err = msgp.WrapError(err, "Advice", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+			}
+		case "Asked":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Asked")
+				return
+			}
+			if zb0003 > z8e64899elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Asked) >= int(zb0003) {
+				z.Asked = (z.Asked)[:zb0003]
+			} else {
+				z.Asked = make([]WorkspaceRate, zb0003)
+			}
+			for za0002 := range z.Asked {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Asked", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Asked", za0001)
+						err = msgp.WrapError(err, "Asked", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "PerSecond":
-						z.Asked[za0001].PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+						z.Asked[za0002].PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Asked", za0001, "PerSecond")
+							err = msgp.WrapError(err, "Asked", za0002, "PerSecond")
 							return
 						}
 					case "Spent":
-						z.Asked[za0001].Spent, bts, err = msgp.ReadFloat64Bytes(bts)
+						z.Asked[za0002].Spent, bts, err = msgp.ReadFloat64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Asked", za0001, "Spent")
+							err = msgp.WrapError(err, "Asked", za0002, "Spent")
 							return
 						}
 					case "Workspace":
-						z.Asked[za0001].Workspace, bts, err = msgp.ReadStringBytes(bts)
+						z.Asked[za0002].Workspace, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Asked", za0001, "Workspace")
+							err = msgp.WrapError(err, "Asked", za0002, "Workspace")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Asked", za0001)
+							err = msgp.WrapError(err, "Asked", za0002)
 							return
 						}
 					}
@@ -251,25 +284,25 @@
 				return
 			}
 		case "Demand":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Demand")
 				return
 			}
-			if zb0004 > z8e64899elimitArrays {
+			if zb0005 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Demand) >= int(zb0004) {
-				z.Demand = (z.Demand)[:zb0004]
+			if cap(z.Demand) >= int(zb0005) {
+				z.Demand = (z.Demand)[:zb0005]
 			} else {
-				z.Demand = make([]TargetDemand, zb0004)
+				z.Demand = make([]TargetDemand, zb0005)
 			}
-			for za0002 := range z.Demand {
-				bts, err = z.Demand[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Demand {
+				bts, err = z.Demand[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Demand", za0002)
+					err = msgp.WrapError(err, "Demand", za0003)
 					return
 				}
 			}
@@ -292,83 +325,83 @@
 				return
 			}
 		case "Heard":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Heard")
 				return
 			}
-			if zb0005 > z8e64899elimitArrays {
+			if zb0006 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Heard) >= int(zb0005) {
-				z.Heard = (z.Heard)[:zb0005]
+			if cap(z.Heard) >= int(zb0006) {
+				z.Heard = (z.Heard)[:zb0006]
 			} else {
-				z.Heard = make([]HeardBulletin, zb0005)
+				z.Heard = make([]HeardBulletin, zb0006)
 			}
-			for za0003 := range z.Heard {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0004 := range z.Heard {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Heard", za0003)
+					err = msgp.WrapError(err, "Heard", za0004)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Heard", za0003)
+						err = msgp.WrapError(err, "Heard", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "HeldMS":
-						z.Heard[za0003].HeldMS, bts, err = msgp.ReadIntBytes(bts)
+						z.Heard[za0004].HeldMS, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0003, "HeldMS")
+							err = msgp.WrapError(err, "Heard", za0004, "HeldMS")
 							return
 						}
 					case "Name":
-						z.Heard[za0003].Name, bts, err = msgp.ReadStringBytes(bts)
+						z.Heard[za0004].Name, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0003, "Name")
+							err = msgp.WrapError(err, "Heard", za0004, "Name")
 							return
 						}
 					case "SentMS":
-						z.Heard[za0003].SentMS, bts, err = msgp.ReadIntBytes(bts)
+						z.Heard[za0004].SentMS, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0003, "SentMS")
+							err = msgp.WrapError(err, "Heard", za0004, "SentMS")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0003)
+							err = msgp.WrapError(err, "Heard", za0004)
 							return
 						}
 					}
 				}
 			}
 		case "Held":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Held")
 				return
 			}
-			if zb0007 > z8e64899elimitArrays {
+			if zb0008 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Held) >= int(zb0007) {
-				z.Held = (z.Held)[:zb0007]
+			if cap(z.Held) >= int(zb0008) {
+				z.Held = (z.Held)[:zb0008]
 			} else {
-				z.Held = make([]ServerTargets, zb0007)
+				z.Held = make([]ServerTargets, zb0008)
 			}
-			for za0004 := range z.Held {
-				bts, err = z.Held[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Held {
+				bts, err = z.Held[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Held", za0004)
+					err = msgp.WrapError(err, "Held", za0005)
 					return
 				}
 			}
@@ -379,52 +412,52 @@
 				return
 			}
 		case "Members":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if zb0008 > z8e64899elimitArrays {
+			if zb0009 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Members) >= int(zb0008) {
-				z.Members = (z.Members)[:zb0008]
+			if cap(z.Members) >= int(zb0009) {
+				z.Members = (z.Members)[:zb0009]
 			} else {
-				z.Members = make([]ListedInstance, zb0008)
+				z.Members = make([]ListedInstance, zb0009)
 			}
-			for za0005 := range z.Members {
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0006 := range z.Members {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0005)
+					err = msgp.WrapError(err, "Members", za0006)
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0010 > 0 {
+					zb0010--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Members", za0005)
+						err = msgp.WrapError(err, "Members", za0006)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "Leaving":
-						z.Members[za0005].Leaving, bts, err = msgp.ReadBoolBytes(bts)
+						z.Members[za0006].Leaving, bts, err = msgp.ReadBoolBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Members", za0005, "Leaving")
+							err = msgp.WrapError(err, "Members", za0006, "Leaving")
 							return
 						}
 					case "Name":
-						z.Members[za0005].Name, bts, err = msgp.ReadStringBytes(bts)
+						z.Members[za0006].Name, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Members", za0005, "Name")
+							err = msgp.WrapError(err, "Members", za0006, "Name")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Members", za0005)
+							err = msgp.WrapError(err, "Members", za0006)
 							return
 						}
 					}
@@ -437,25 +470,25 @@
 				return
 			}
 		case "Needs":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Needs")
 				return
 			}
-			if zb0010 > z8e64899elimitArrays {
+			if zb0011 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Needs) >= int(zb0010) {
-				z.Needs = (z.Needs)[:zb0010]
+			if cap(z.Needs) >= int(zb0011) {
+				z.Needs = (z.Needs)[:zb0011]
 			} else {
-				z.Needs = make([]string, zb0010)
+				z.Needs = make([]string, zb0011)
 			}
-			for za0006 := range z.Needs {
-				z.Needs[za0006], bts, err = msgp.ReadStringBytes(bts)
+			for za0007 := range z.Needs {
+				z.Needs[za0007], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Needs", za0006)
+					err = msgp.WrapError(err, "Needs", za0007)
 					return
 				}
 			}
@@ -466,52 +499,52 @@
 				return
 			}
 		case "Running":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Running")
 				return
 			}
-			if zb0011 > z8e64899elimitArrays {
+			if zb0012 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Running) >= int(zb0011) {
-				z.Running = (z.Running)[:zb0011]
+			if cap(z.Running) >= int(zb0012) {
+				z.Running = (z.Running)[:zb0012]
 			} else {
-				z.Running = make([]ServerCount, zb0011)
+				z.Running = make([]ServerCount, zb0012)
 			}
-			for za0007 := range z.Running {
-				var zb0012 uint32
-				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0008 := range z.Running {
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Running", za0007)
+					err = msgp.WrapError(err, "Running", za0008)
 					return
 				}
-				for zb0012 > 0 {
-					zb0012--
+				for zb0013 > 0 {
+					zb0013--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Running", za0007)
+						err = msgp.WrapError(err, "Running", za0008)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "Count":
-						z.Running[za0007].Count, bts, err = msgp.ReadIntBytes(bts)
+						z.Running[za0008].Count, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Running", za0007, "Count")
+							err = msgp.WrapError(err, "Running", za0008, "Count")
 							return
 						}
 					case "Server":
-						z.Running[za0007].Server, bts, err = msgp.ReadStringBytes(bts)
+						z.Running[za0008].Server, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Running", za0007, "Server")
+							err = msgp.WrapError(err, "Running", za0008, "Server")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Running", za0007)
+							err = msgp.WrapError(err, "Running", za0008)
 							return
 						}
 					}
@@ -536,25 +569,25 @@
 				return
 			}
 		case "Shards":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Shards")
 				return
 			}
-			if zb0013 > z8e64899elimitArrays {
+			if zb0014 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Shards) >= int(zb0013) {
-				z.Shards = (z.Shards)[:zb0013]
+			if cap(z.Shards) >= int(zb0014) {
+				z.Shards = (z.Shards)[:zb0014]
 			} else {
-				z.Shards = make([]StewardShard, zb0013)
+				z.Shards = make([]StewardShard, zb0014)
 			}
-			for za0008 := range z.Shards {
-				bts, err = z.Shards[za0008].UnmarshalMsg(bts)
+			for za0009 := range z.Shards {
+				bts, err = z.Shards[za0009].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Shards", za0008)
+					err = msgp.WrapError(err, "Shards", za0009)
 					return
 				}
 			}
@@ -590,37 +623,41 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Bulletin) Msgsize() (s int) {
-	s = 3 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Asked {
-		s += 1 + 10 + msgp.Float64Size + 6 + msgp.Float64Size + 10 + msgp.StringPrefixSize + len(z.Asked[za0001].Workspace)
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Advice {
+		s += z.Advice[za0001].Msgsize()
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Asked {
+		s += 1 + 10 + msgp.Float64Size + 6 + msgp.Float64Size + 10 + msgp.StringPrefixSize + len(z.Asked[za0002].Workspace)
 	}
 	s += 14 + msgp.StringPrefixSize + len(z.CallerAddress) + 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Demand {
-		s += z.Demand[za0002].Msgsize()
+	for za0003 := range z.Demand {
+		s += z.Demand[za0003].Msgsize()
 	}
 	s += 14 + msgp.IntSize + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 9 + z.Findings.Msgsize() + 6 + msgp.ArrayHeaderSize
-	for za0003 := range z.Heard {
-		s += 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Heard[za0003].Name) + 7 + msgp.IntSize
+	for za0004 := range z.Heard {
+		s += 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Heard[za0004].Name) + 7 + msgp.IntSize
 	}
 	s += 5 + msgp.ArrayHeaderSize
-	for za0004 := range z.Held {
-		s += z.Held[za0004].Msgsize()
+	for za0005 := range z.Held {
+		s += z.Held[za0005].Msgsize()
 	}
 	s += 8 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
-	for za0005 := range z.Members {
-		s += 1 + 8 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Members[za0005].Name)
+	for za0006 := range z.Members {
+		s += 1 + 8 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Members[za0006].Name)
 	}
 	s += 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.ArrayHeaderSize
-	for za0006 := range z.Needs {
-		s += msgp.StringPrefixSize + len(z.Needs[za0006])
+	for za0007 := range z.Needs {
+		s += msgp.StringPrefixSize + len(z.Needs[za0007])
 	}
 	s += 14 + z.RecordChanges.Msgsize() + 8 + msgp.ArrayHeaderSize
-	for za0007 := range z.Running {
-		s += 1 + 6 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Running[za0007].Server)
+	for za0008 := range z.Running {
+		s += 1 + 6 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Running[za0008].Server)
 	}
 	s += 6 + msgp.StringPrefixSize + len(z.Scope) + 7 + msgp.IntSize + 14 + z.ServerChanges.Msgsize() + 7 + msgp.ArrayHeaderSize
-	for za0008 := range z.Shards {
-		s += z.Shards[za0008].Msgsize()
+	for za0009 := range z.Shards {
+		s += z.Shards[za0009].Msgsize()
 	}
 	s += 6 + msgp.IntSize + 7 + msgp.BoolSize + 8 + msgp.IntSize
 	return
@@ -1248,6 +1285,94 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerAdvice) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "AgeMS"
+	o = append(o, 0x85, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
+	o = msgp.AppendInt(o, z.AgeMS)
+	// string "Born"
+	o = append(o, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
+	o = msgp.AppendInt(o, z.Born)
+	// string "Limited"
+	o = append(o, 0xa7, 0x4c, 0x69, 0x6d, 0x69, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Limited)
+	// string "PerSecond"
+	o = append(o, 0xa9, 0x50, 0x65, 0x72, 0x53, 0x65, 0x63, 0x6f, 0x6e, 0x64)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	// string "Server"
+	o = append(o, 0xa6, 0x53, 0x65, 0x72, 0x76, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Server)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerAdvice) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "AgeMS":
+			z.AgeMS, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMS")
+				return
+			}
+		case "Born":
+			z.Born, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		case "Limited":
+			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limited")
+				return
+			}
+		case "PerSecond":
+			z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PerSecond")
+				return
+			}
+		case "Server":
+			z.Server, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Server")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerAdvice) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.BoolSize + 10 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Server)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ServerCount) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
