dispatch: send no more requests to a server that says in its answers that it leaves

What callers would see: requests that reach a server which has told this instance that it leaves (DRAIN), while its entry still says that it is ready.

Change: it is part of what is kept of a server's answers, by id and start, and travels in bulletins. Choice, the planner and the status take such a server for one that drains.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -25,8 +25,9 @@
 	// _limitCheckInterval is the age of the last answer from which a server with a
 	// limit gets a request although others have room.
 	_limitCheckInterval = time.Second
-	// _limitEndTTL is how long the end of a limit is included in bulletins.
-	_limitEndTTL = 2 * time.Second
+	// _adviceTTL is how long the end of a limit, or that a server leaves, is included in
+	// bulletins.
+	_adviceTTL = 2 * time.Second
 	// _lowLimitShare is the fraction of its slots that the limit of a server must be
 	// able to fill for its copies to count.
 	_lowLimitShare = 0.25
@@ -41,6 +42,11 @@
 type advice struct {
 	born  int64
 	limit limit
+	// leaving is set once the server has said that it leaves; leavingAt is when, and
+	// leavingOwn reports whether it said so to this instance.
+	leaving    bool
+	leavingAt  time.Time
+	leavingOwn bool
 	// unreadable is set once an answer asked for something that can't be read.
 	unreadable bool
 }
@@ -96,6 +102,9 @@
 	a := s.advice
 	news := asked.Unreadable != "" && !a.unreadable
 	a.unreadable = a.unreadable || news
+	if asked.Leaving {
+		news = a.leave(true, now) || news
+	}
 	if asked.Limited || ran {
 		news = a.limit.update(asked.Limited, asked.PerSecond, true, now) || news
 	}
@@ -103,6 +112,18 @@
 	return news
 }
 
+// leave records that the server leaves, and reports whether that is news.
+func (a *advice) leave(own bool, now time.Time) bool {
+	if a.leaving {
+		return false
+	}
+	a.leaving = true
+	a.leavingAt = now
+	a.leavingOwn = own
+
+	return true
+}
+
 // update records an answer, and reports whether it changes the limit.
 func (l *limit) update(active bool, perSecond float64, own bool, at time.Time) bool {
 	if at.Before(l.at) {
@@ -136,15 +157,18 @@
 	var out []wire.ServerAdvice
 	for id, a := range b.advice {
 		l := &a.limit
-		if !l.active && (l.endedAt.IsZero() || now.Sub(l.endedAt) > _limitEndTTL) || !l.own && !forward {
+		limit := (l.active || now.Sub(l.endedAt) <= _adviceTTL) && (l.own || forward)
+		leaving := a.leaving && now.Sub(a.leavingAt) <= _adviceTTL && (a.leavingOwn || forward)
+		if !limit && !leaving {
 			continue
 		}
 		out = append(out, wire.ServerAdvice{
 			Server:    id,
 			Born:      int(a.born),
+			Leaving:   a.leaving,
 			Limited:   l.active,
 			PerSecond: l.perSecond,
-			AgeMS:     int(now.Sub(l.at).Milliseconds()),
+			AgeMS:     int(min(now.Sub(l.at), time.Hour).Milliseconds()),
 		})
 	}
 	slices.SortFunc(out, func(a, b wire.ServerAdvice) int { return strings.Compare(a.Server, b.Server) })
@@ -167,7 +191,8 @@
 			s.advice = a
 		}
 		at := now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
-		if a.limit.update(r.Limited, r.PerSecond, false, at) {
+		left := r.Leaving && a.leave(false, now)
+		if a.limit.update(r.Limited, r.PerSecond, false, at) || left {
 			news = append(news, r)
 		}
 	}
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -304,7 +304,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.services[service] {
-		if !s.entry.Draining && s.serves(site.Target{Model: model}, model, now) {
+		if !s.entry.Draining && !s.advice.leaving && s.serves(site.Target{Model: model}, model, now) {
 			return true
 		}
 	}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -239,12 +239,12 @@
 	}
 }
 
-// Down reports whether recent connections to a backend server failed and none
-// has succeeded since.
+// Down reports whether a backend server takes no more requests: it has said that it
+// leaves, or recent connections to it failed and none has succeeded since.
 func (b *Balancer) Down(id string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[id]
 
-	return s != nil && s.connectFailures >= _downThreshold && now.Sub(s.lastConnectFailure) < _downTTL
+	return s != nil && (s.advice.leaving || s.connectFailures >= _downThreshold && now.Sub(s.lastConnectFailure) < _downTTL)
 }
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -44,7 +44,7 @@
 		}
 		slices.Sort(st.Told)
 		switch {
-		case s.entry.Draining:
+		case s.entry.Draining || s.advice.leaving:
 			st.Avoided = "Draining"
 		case s.connectFailures >= _downThreshold:
 			st.Avoided = "Unreachable"
--- a/entry/advice.go
+++ b/entry/advice.go
@@ -43,6 +43,7 @@
 func (e *Entry) receiveAdvice(received []wire.ServerAdvice, now time.Time) {
 	for _, a := range e.balancer.ReceiveAdvice(received, now) {
 		e.logAdvice(a.Server, site.Advice{
+			Leaving:   a.Leaving,
 			Limited:   a.Limited,
 			PerSecond: a.PerSecond,
 		}, false, time.Duration(a.AgeMS)*time.Millisecond)
@@ -50,6 +51,6 @@
 }
 
 func (e *Entry) logAdvice(server string, a site.Advice, own bool, age time.Duration) {
-	e.cfg.Log.Write(event.ServerAdvised, zap.String("Server", server), zap.Bool("Limited", a.Limited), zap.Float64("PerSecond", a.PerSecond),
+	e.cfg.Log.Write(event.ServerAdvised, zap.String("Server", server), zap.Bool("Leaving", a.Leaving), zap.Bool("Limited", a.Limited), zap.Float64("PerSecond", a.PerSecond),
 		zap.String("Unreadable", a.Unreadable), zap.Bool("Own", own), zap.Duration("Age", age), zap.Duration("Up", timer.Elapsed()-e.startedAt))
 }
--- a/site/server.go
+++ b/site/server.go
@@ -67,6 +67,8 @@
 	// from all instances together, until an answer doesn't.
 	Limited   bool
 	PerSecond float64
+	// Leaving reports whether it takes no more new requests.
+	Leaving bool
 	// Unreadable names what it asks for that can't be read, and that has no effect;
 	// empty if there is nothing.
 	Unreadable string
--- a/steward/server.go
+++ b/steward/server.go
@@ -12,8 +12,8 @@
 // and the orders sent since.
 type serverState struct {
 	entry site.BackendServer
-	// down is set while connections to the backend server fail, and limited while it
-	// takes so few requests that its copies don't count.
+	// down is set while the backend server takes no requests, and limited while it takes
+	// so few that its copies don't count.
 	down    bool
 	limited bool
 	// synced is set once a report was read since this instance became the
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -121,7 +121,7 @@
 	Holder string
 	// Engine returns the engine of a service, or nil if it has none.
 	Engine func(service string) *site.Engine
-	// Down reports whether connections to a backend server fail.
+	// Down reports whether a backend server takes no more requests.
 	Down func(id string) bool
 	// Limited reports whether a backend server takes so few requests that its copies
 	// don't count.
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -160,12 +160,16 @@
 }
 
 type ServerAdvice struct {
-	// AgeMS is the time since the latest answer that shows this.
+	// AgeMS is the time since the latest answer that shows the limit, or that there
+	// is none.
 	AgeMS int `json:"AgeMS"`
 
 	// Born distinguishes starts under the same id.
 	Born int `json:"Born"`
 
+	// Leaving says that the server takes no more new requests.
+	Leaving bool `json:"Leaving"`
+
 	// Limited says that the server sets a limit on the requests of all instances
 	// together; if unset it no longer does.
 	Limited bool `json:"Limited"`
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -1288,13 +1288,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ServerAdvice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "AgeMS"
-	o = append(o, 0x85, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
+	o = append(o, 0x86, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
 	o = msgp.AppendInt(o, z.AgeMS)
 	// string "Born"
 	o = append(o, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
 	o = msgp.AppendInt(o, z.Born)
+	// string "Leaving"
+	o = append(o, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Leaving)
 	// string "Limited"
 	o = append(o, 0xa7, 0x4c, 0x69, 0x6d, 0x69, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Limited)
@@ -1337,6 +1340,12 @@
 				err = msgp.WrapError(err, "Born")
 				return
 			}
+		case "Leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		case "Limited":
 			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1369,7 +1378,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ServerAdvice) Msgsize() (s int) {
-	s = 1 + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.BoolSize + 10 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Server)
+	s = 1 + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.BoolSize + 8 + msgp.BoolSize + 10 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Server)
 	return
 }
 
