dispatch: leave a backend server alone for the time that it asks for

Change: the time is part of what is kept of a server's answers, for this instance alone. Choice leaves the server out; callers that find only such servers get the time until the first of them takes requests again.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -28,6 +28,9 @@
 	// _adviceTTL is how long the end of a limit, or that a server leaves, is included in
 	// bulletins.
 	_adviceTTL = 2 * time.Second
+	// _maxPause bounds the time for which a backend server gets no requests because it
+	// asked for that.
+	_maxPause = 10 * time.Minute
 	// _lowLimitShare is the fraction of its slots that the limit of a server must be
 	// able to fill for its copies to count.
 	_lowLimitShare = 0.25
@@ -47,6 +50,9 @@
 	leaving    bool
 	leavingAt  time.Time
 	leavingOwn bool
+	// pausedUntil is the end of the time for which it wants no requests from this
+	// instance.
+	pausedUntil time.Time
 	// unreadable is set once an answer asked for something that can't be read.
 	unreadable bool
 }
@@ -105,6 +111,10 @@
 	if asked.Leaving {
 		news = a.leave(true, now) || news
 	}
+	if until := now.Add(min(asked.Pause, _maxPause)); asked.Pause > 0 && until.After(a.pausedUntil) {
+		news = news || now.After(a.pausedUntil)
+		a.pausedUntil = until
+	}
 	if asked.Limited || ran {
 		news = a.limit.update(asked.Limited, asked.PerSecond, true, now) || news
 	}
@@ -247,10 +257,13 @@
 	}
 }
 
-// untilAllowed returns the time until a backend server's limit allows a request of
-// this instance, or likely one of any instance if this one is no sender; 0 if it
-// does now.
+// untilAllowed returns the time until a backend server wants requests of this instance
+// again, and its limit allows one, or likely one of any instance if this one is no
+// sender; 0 if it does now.
 func (b *Balancer) untilAllowed(s *server, now time.Time) time.Duration {
+	if left := s.advice.pausedUntil.Sub(now); left > 0 {
+		return left
+	}
 	l := &s.advice.limit
 	if !l.active {
 		return 0
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -23,7 +23,8 @@
 	// the model or service.
 	Pace float64
 	// Avoided is the reason for which the backend server gets no requests while
-	// others are available: "Draining", "Unreachable" or "Failing", or empty.
+	// others are available: "Draining", "Unreachable", "Paused", "Limited" or
+	// "Failing", or empty.
 	Avoided string
 }
 
@@ -48,6 +49,10 @@
 			st.Avoided = "Draining"
 		case s.connectFailures >= _downThreshold:
 			st.Avoided = "Unreachable"
+		case now.Before(s.advice.pausedUntil):
+			st.Avoided = "Paused"
+		case s.advice.limit.active:
+			st.Avoided = "Limited"
 		case s.health.avoided(now):
 			st.Avoided = "Failing"
 		}
--- a/site/server.go
+++ b/site/server.go
@@ -69,6 +69,9 @@
 	PerSecond float64
 	// Leaving reports whether it takes no more new requests.
 	Leaving bool
+	// Pause is the time for which it takes no requests from the instance that it
+	// answers; 0 for none.
+	Pause time.Duration
 	// Unreadable names what it asks for that can't be read, and that has no effect;
 	// empty if there is nothing.
 	Unreadable string
