quarantine: bound the ages in findings

A finding with an age beyond 2^63 ns overflowed to one from the future, which no whole answer clears. No instance sends one; the datagrams and the store's object may be another writer's. TestHold, an age beyond all bounds: held on the code before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -336,8 +336,10 @@
 	q.decide(now)
 }
 
+// age returns the age in a finding. A greater one than _holdDuration makes no
+// difference.
 func age(ms int) time.Duration {
-	return time.Duration(max(ms, 0)) * time.Millisecond
+	return time.Duration(min(max(ms, 0), int(_holdDuration.Milliseconds()))) * time.Millisecond
 }
 
 // accuse adds a trait to those of a crash, unless it was answered whole since then.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -555,6 +556,15 @@
 			},
 			want: []int{1},
 		},
+		{
+			name: "an age beyond all bounds",
+			give: func(q *Quarantine, _ *time.Duration) {
+				q.Receive(wire.CrashFindings{Held: []wire.TraitFinding{{
+					Trait: 1,
+					AgeMS: math.MaxInt64 / 500_000,
+				}}})
+			},
+		},
 		{
 			name: "more than can be held",
 			give: func(q *Quarantine, now *time.Duration) {
