dispatch: bound what bulletins say of servers' advice

An age that overflows was later than all answers, and a limit that is no number has no senders. TestLimitOfStart, bulletins that can't be true.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -38,6 +38,8 @@
 	// entry, and _maxReportedAdvice those in a bulletin.
 	_maxAdvice         = 1024
 	_maxReportedAdvice = 64
+	// _maxAgeMS is the greatest age of advice in bulletins, in milliseconds.
+	_maxAgeMS = 3_600_000
 )
 
 // advice is what a backend server has asked of its callers since it started. It
@@ -178,7 +180,7 @@
 			Leaving:   a.leaving,
 			Limited:   l.active,
 			PerSecond: l.perSecond,
-			AgeMS:     int(min(now.Sub(l.at), time.Hour).Milliseconds()),
+			AgeMS:     int(min(now.Sub(l.at).Milliseconds(), _maxAgeMS)),
 		})
 	}
 	slices.SortFunc(out, func(a, b wire.ServerAdvice) int { return strings.Compare(a.Server, b.Server) })
@@ -194,13 +196,14 @@
 	var news []wire.ServerAdvice
 	for _, r := range received {
 		a := b.adviceOf(r.Server, int64(r.Born))
-		if a == nil {
+		// The comparison is false for what is no number, too.
+		if a == nil || !(r.PerSecond >= 0 && r.PerSecond <= site.MaxPerSecond) {
 			continue
 		}
 		if s := b.servers[r.Server]; s != nil && s.entry.Born == a.born {
 			s.advice = a
 		}
-		at := now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
+		at := now.Add(-time.Duration(min(max(r.AgeMS, 0), _maxAgeMS)) * time.Millisecond)
 		left := r.Leaving && a.leave(false, now)
 		if a.limit.update(r.Limited, r.PerSecond, false, at) || left {
 			news = append(news, r)
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -304,6 +305,23 @@
 			name: "an answer to a request that ran names none",
 			then: func(b *dispatch.Balancer) { b.Advise("a", site.Advice{}, true, testStart.Add(time.Second)) },
 		},
+		{
+			name: "bulletins that can't be true",
+			then: func(b *dispatch.Balancer) {
+				b.ReceiveAdvice([]wire.ServerAdvice{
+					{
+						Server:    "a",
+						Limited:   true,
+						PerSecond: math.NaN(),
+					},
+					{
+						Server: "a",
+						AgeMS:  math.MaxInt64 / 500_000,
+					},
+				}, testStart.Add(time.Second))
+			},
+			want: true,
+		},
 		{
 			name: "an older bulletin names none",
 			then: func(b *dispatch.Balancer) {
--- a/site/server.go
+++ b/site/server.go
@@ -61,6 +61,10 @@
 	OnDisk   []string
 }
 
+// MaxPerSecond is the largest limit of a backend server, in requests per second, that
+// is taken for one.
+const MaxPerSecond = 1e6
+
 // Advice is what a backend server asks of its callers in an answer.
 type Advice struct {
 	// Limited reports whether it sets a limit, PerSecond, on the requests that it takes
