entry: let an answer without an end of its own clear no trait

What callers would see: servers that go on crashing under requests with one part in common (BUDGET), as some of the crashes look like whole answers: without a length or chunks, the end of the connection is that of the answer. Named by the users' maintainers from reading the code.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -53,8 +53,10 @@
 	choice dispatch.Choice
 	conn   *hop.Conn
 	reused bool
-	run    *dispatch.Run
-	sentAt time.Time
+	// undelimited is set if the answer has no other end than that of the connection.
+	undelimited bool
+	run         *dispatch.Run
+	sentAt      time.Time
 	// firstLatency is the time from sending the request to the head of its answer,
 	// or to the first event of a stream.
 	firstLatency time.Duration
@@ -97,7 +99,8 @@
 	}
 	e.balancer.End(a.run, result, a.unitDuration(), time.Now())
 	switch {
-	case result == dispatch.ResultOK:
+	case result == dispatch.ResultOK && !a.undelimited:
+		// An answer that ends with the connection may have been ended by a crash.
 		e.quarantine.Completed(j.traits)
 	case result == dispatch.ResultFailed && isBroken(err):
 		e.quarantine.Crashed(choice.Server.ID, j.traits)
@@ -169,6 +172,7 @@
 	if answer.ID == j.call.ID {
 		j.e.advise(a.choice.Server.ID, answer)
 	}
+	a.undelimited = conn.EndsWithConnection()
 	a.firstLatency = time.Since(a.sentAt)
 	if !answer.Events {
 		j.e.balancer.ResponseStarted(a.run)
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -293,6 +293,12 @@
 	}
 }
 
+// EndsWithConnection reports whether the response whose head was read last has no
+// other end than that of the connection. It may be incomplete without a sign of it.
+func (c *Conn) EndsWithConnection() bool {
+	return c.body.untilClose
+}
+
 // ReadHead reads the head of the response to a request with the given method. It
 // skips interim responses.
 func (c *Conn) ReadHead(method string) (*Head, error) {
