--- a/entry/held.go
+++ b/entry/held.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// due reports whether the store must be changed to have the held traits, by an
-// instance before which rank others should do it, and returns the object's version.
-func (r *heldRecord) due(held []wire.TraitFinding, rank int, now time.Duration) (version int, due bool) {
+// due reports whether this instance must change the store to have the held traits, as
+// rank others should rather do it, and returns the object's version.
+func (r *heldRecord) due(held []wire.TraitFinding, rank func() int, now time.Duration) (version int, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	same := len(held) == len(r.traits)
@@ -70,7 +70,7 @@
 		r.differsSince = now
 	}
 
-	return r.version, now-r.differsSince >= time.Duration(rank)*_heldWriterPause
+	return r.version, now-r.differsSince >= time.Duration(rank())*_heldWriterPause
 }
 
 // observeHeld records the store's object with the held traits. When it is first read,
@@ -112,7 +112,7 @@
 		return
 	}
 	held := e.quarantine.HeldFindings()
-	version, due := e.held.due(held, e.heldRank(), timer.Elapsed())
+	version, due := e.held.due(held, e.heldRank, timer.Elapsed())
 	if !due {
 		return
 	}
