quarantine: simulate requests that are sent to three servers each

TestDeadlyPart, each sent to three servers: at most three sent late, with and without the wait for joined findings.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -56,6 +56,8 @@
 	traits           []int
 	begins, ends     time.Duration
 	cut              bool
+	// repeats is the number of servers to which the request is sent if one crashes.
+	repeats int
 }
 
 type simMail struct {
@@ -81,6 +83,9 @@
 	together time.Duration
 	loss     float64
 	lag      time.Duration
+	// repeats is the number of further servers to which a request with _testDeadly is
+	// sent, one after the other.
+	repeats int
 	// restarts is the interval at which all instances end at once and start again.
 	restarts time.Duration
 }
@@ -188,6 +193,12 @@
 
 		return
 	}
+	r.repeats = p.repeats
+	sim.send(r)
+}
+
+// send sends a request to its server, or to the next one that is up.
+func (sim *simulation) send(r simRun) {
 	for range sim.servers {
 		if sim.now >= sim.servers[r.server].downUntil {
 			break
@@ -197,12 +208,23 @@
 	if sim.now < sim.servers[r.server].downUntil {
 		return
 	}
-	if deadly {
+	if slices.Contains(r.traits, _testDeadly) {
 		sim.deadlySent = append(sim.deadlySent, sim.now)
 	}
 	sim.runs = append(sim.runs, r)
 }
 
+// repeat sends a request whose server has crashed to another one, unless it is held.
+func (sim *simulation) repeat(r simRun) {
+	if _, left := sim.instances[r.instance].Find(r.traits); left > 0 || r.repeats == 0 {
+		return
+	}
+	r.repeats--
+	r.begins = sim.now + _testUntilRun
+	r.ends = r.begins + _testAnswer
+	sim.send(r)
+}
+
 // advance begins and ends runs.
 func (sim *simulation) advance() {
 	for i := 0; i < len(sim.runs); i++ {
@@ -211,6 +233,7 @@
 		case slices.Contains(r.traits, _testDeadly) && sim.now >= r.begins:
 			sim.crashes = append(sim.crashes, sim.now)
 			sim.crash(r.server)
+			sim.repeat(r)
 			i = -1
 		case sim.now >= r.ends:
 			sim.runs = slices.Delete(sim.runs, i, i+1)
@@ -253,12 +276,16 @@
 
 // TestDeadlyPart guards against servers that crash one after the other under requests
 // that have one part of their prompts in common and nothing else (BUDGET), and against
-// sound requests that are held beside them (LOST). After the fifth crash and the time
-// in which findings must have spread, at most three such requests may be sent.
+// sound requests that are held beside them (LOST). After the fifth crash, or the third
+// under one request, and the time in which findings must have spread, at most three such
+// requests may be sent.
 func TestDeadlyPart(t *testing.T) {
 	tests := []struct {
 		name string
 		give simPlan
+		// crashes is the number of crashes after which hardly any requests may be sent, 5
+		// if it is 0.
+		crashes int
 		// wantHeld is the held traits of all instances in the end.
 		wantHeld []int
 	}{
@@ -324,6 +351,20 @@
 			},
 			wantHeld: []int{_testDeadly},
 		},
+		{
+			// Three servers that crash one after the other within _separation count once.
+			name: "each sent to three servers",
+			give: simPlan{
+				instances:  8,
+				servers:    12,
+				workspaces: 5,
+				perSecond:  70,
+				deadly:     0.02,
+				repeats:    2,
+			},
+			crashes:  3,
+			wantHeld: []int{_testDeadly},
+		},
 		{
 			name: "all instances end together, now and then",
 			give: simPlan{
@@ -375,7 +416,10 @@
 			if sim.refused > 5+sim.sound/500 {
 				t.Errorf("%d of %d sound requests were held", sim.refused, sim.sound)
 			}
-			const most = 5
+			most := 5
+			if tt.crashes > 0 {
+				most = tt.crashes
+			}
 			if len(sim.crashes) < most {
 				return
 			}
