--- a/entry/advice.go
+++ b/entry/advice.go
@@ -51,7 +51,7 @@
 }
 
 func (e *Entry) logAdvice(server string, a site.Advice, own bool, age time.Duration) {
-	e.cfg.Log.Write(event.ServerAdvised, zap.String("Server", server), zap.Bool("Leaving", a.Leaving), zap.Bool("Limited", a.Limited), zap.Float64("PerSecond", a.PerSecond),
-		zap.Duration("Pause", a.Pause),
-		zap.String("Unreadable", a.Unreadable), zap.Bool("Own", own), zap.Duration("Age", age), zap.Duration("Up", timer.Elapsed()-e.startedAt))
+	e.cfg.Log.Write(event.ServerAdvised, zap.String("Server", server), zap.Bool("Leaving", a.Leaving), zap.Bool("Limited", a.Limited),
+		zap.Float64("PerSecond", a.PerSecond), zap.Duration("Pause", a.Pause), zap.String("Unreadable", a.Unreadable),
+		zap.Bool("Own", own), zap.Duration("Age", age), zap.Duration("Up", timer.Elapsed()-e.startedAt))
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -210,7 +210,7 @@
 }
 
 // readHead reads the head of the answer to this request. It skips late answers
-// to earlier requests on the connection, and refusals that may be.
+// to earlier requests on the connection, and refusals that may belong to one.
 func (a *attempt) readHead() (*hop.Head, Answer, error) {
 	j := a.j
 	for range _maxForeignAnswers + 1 {
@@ -219,7 +219,7 @@
 			return nil, Answer{}, err
 		}
 		answer := j.e.cfg.Codec.DecodeAnswer(head, a.choice.Server.ID)
-		// A refusal without an id on a kept connection may be an earlier one once more.
+		// On a kept connection, a refusal without an id may be an earlier one repeated.
 		repeated := a.reused && (answer.NotRun || answer.NotHeld)
 		if answer.ID == j.call.ID || answer.ID == "" && !answer.Signed && !repeated {
 			return head, answer, nil
