quarantine: count crashes in the order of their causes, not by the time between

Cause: crashes within 0.25 s counted as one, because servers that are lost together say nothing about the requests on them. A request that is sent to a second server because the first has ended, and ends that one too, looks the same by the time between.

Ruled out: accusations cleared between volleys (Since is the first volley's time); attempts that look like different requests (one trait is held).

Also tried: counting only repeats within one instance's own attempts.

Change: a crash within 0.25 s of the one before counts if all requests with the trait were sent to the server after it. Findings carry for how long the first of them had run; the earliest finding dates a crash. Explained crashes keep their accusations and count where traits are compared, so that a part is found behind several held requests.

With the comparison left as it was, TestHold and "part, few servers" fail.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -103,7 +103,7 @@
 		// An answer that ends with the connection may have been ended by a crash.
 		e.quarantine.Completed(j.traits)
 	case result == dispatch.ResultFailed && isBroken(err):
-		e.quarantine.Crashed(choice.Server.ID, j.traits)
+		e.quarantine.Crashed(choice.Server.ID, j.traits, time.Since(a.sentAt))
 	}
 	if o != outcomeDone {
 		j.lastErr = err
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,8 +8,12 @@
 // without a whole answer since the first of them, is held: requests that have it are
 // not sent any more. Now and then one such request is sent as a probe, by one of the
 // instances, so that a trait that was held wrongly is cleared. Of several such traits
-// the most specific one is held, because that affects the fewest requests. The other
-// traits are no longer accused by the same crashes then, as these are explained.
+// the most specific one is held, because that affects the fewest requests. The same
+// crashes are no reason to hold another trait then, as these are explained.
+//
+// Servers that are lost together say nothing about the requests on them. Crashes in
+// quick succession count as one, unless the requests were sent after the crash before:
+// a request that is sent to one server after the other, and ends each, is no coincidence.
 //
 // Instances exchange their findings in their bulletins, because each sees only some
 // of the requests on a server. A finding that arrives twice or late does no harm. The
@@ -17,7 +21,7 @@
 //
 //	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Spread: spread, Log: log})
 //	if trait, left := q.Find(traits); left > 0 { ... } // refuse the request
-//	q.Crashed(server, traits) // its connection broke while the request ran
+//	q.Crashed(server, traits, ran) // its connection broke while the request ran
 //	q.Completed(traits)       // it was answered whole
 package quarantine
 
@@ -46,9 +50,12 @@
 	// _settleTime is the time from the first crash in which whole answers can clear a
 	// trait before it is held. It covers the way of findings between instances.
 	_settleTime = time.Second
-	// _separation is the time within which several crashes count as one. Servers that
-	// are lost together say nothing about the requests on them.
+	// _separation is the time within which several crashes count as one, unless the
+	// requests were sent after the crash before.
 	_separation = 250 * time.Millisecond
+	// _orderTolerance is by how much the order of a crash and of a later request may
+	// seem reversed, as their times come in bulletins of different instances.
+	_orderTolerance = 5 * time.Millisecond
 	// _sameCrash is the time within which findings about one server are about one
 	// crash.
 	_sameCrash = time.Second
@@ -59,9 +66,8 @@
 	_probeInterval = 20 * time.Second
 	// _reportDuration is how long a finding is included in bulletins.
 	_reportDuration = time.Second
-	// _explainedRetention is how long a crash that is explained is kept, so that late
-	// findings about it accuse nothing.
-	_explainedRetention = 10 * time.Second
+	// _clearedRetention is how long a crash that accuses nothing any more is kept.
+	_clearedRetention = 10 * time.Second
 	// _maxCrashes, _maxTraits and _maxHeld bound the crashes, the traits of one of
 	// them and the held traits that are kept.
 	_maxCrashes = 256
@@ -109,17 +115,17 @@
 	at     time.Duration
 	// traits are those that are accused.
 	traits map[int]accusation
-	// explained is set once a trait is held that was among them.
-	explained bool
 	// changedAt is when a trait was last added.
 	changedAt time.Duration
 }
 
 // accusation is a trait accused by a crash. depth is its position among the traits of
-// a request; own reports whether this instance has found it.
+// a request; own reports whether this instance has found it. sentAt is when the first
+// of the requests with it that ran on the server was sent.
 type accusation struct {
-	depth int
-	own   bool
+	depth  int
+	own    bool
+	sentAt time.Duration
 }
 
 // completion is the last whole answer to a request with a trait.
@@ -215,8 +221,8 @@
 }
 
 // Crashed records that the connection to a backend server broke while a request
-// with these traits ran there.
-func (q *Quarantine) Crashed(server string, traits []int) {
+// with these traits ran there, the given time after it was sent.
+func (q *Quarantine) Crashed(server string, traits []int, ran time.Duration) {
 	if len(traits) == 0 {
 		return
 	}
@@ -226,8 +232,9 @@
 	q.dropExpired(now)
 	for depth, t := range traits {
 		q.accuse(server, now, t, accusation{
-			depth: depth,
-			own:   true,
+			depth:  depth,
+			own:    true,
+			sentAt: now - ran,
 		}, now)
 	}
 	q.decide(now)
@@ -270,6 +277,7 @@
 			if (a.own || forward) && reported < _maxReported {
 				report.Traits = append(report.Traits, t)
 				report.Depths = append(report.Depths, a.depth)
+				report.RanMS = append(report.RanMS, int((c.at - a.sentAt).Milliseconds()))
 				reported++
 			}
 		}
@@ -324,9 +332,13 @@
 		q.clear(done.Trait, now-age(done.AgeMS), false, now)
 	}
 	for _, c := range f.Crashes {
+		at := now - age(c.AgeMS)
 		for i, t := range c.Traits {
-			if i < len(c.Depths) {
-				q.accuse(c.Server, now-age(c.AgeMS), t, accusation{depth: c.Depths[i]}, now)
+			if i < len(c.Depths) && i < len(c.RanMS) {
+				q.accuse(c.Server, at, t, accusation{
+					depth:  c.Depths[i],
+					sentAt: at - age(c.RanMS[i]),
+				}, now)
 			}
 		}
 	}
@@ -345,12 +357,6 @@
 // accuse adds a trait to those of a crash, unless it was answered whole since then.
 func (q *Quarantine) accuse(server string, at time.Duration, trait int, a accusation, now time.Duration) {
 	c := q.crashOf(server, at)
-	if _, held := q.held[trait]; held {
-		c.explain()
-	}
-	if c.explained {
-		return
-	}
 	if done, ok := q.completed[trait]; ok && done.at > c.at {
 		done.reportedAt = now
 		q.completed[trait] = done
@@ -358,17 +364,32 @@
 		return
 	}
 	known, ok := c.traits[trait]
-	if ok && (known.own || !a.own) || len(c.traits) >= _maxTraits {
+	if !ok && len(c.traits) >= _maxTraits {
+		return
+	}
+	if ok {
+		a.sentAt = min(a.sentAt, known.sentAt)
+	}
+	if ok && (known.own || !a.own) {
+		known.sentAt = a.sentAt
+		c.traits[trait] = known
+
 		return
 	}
 	c.traits[trait] = a
 	c.changedAt = now
 }
 
-// crashOf returns the crash of a server at about a time.
+// crashOf returns the crash of a server at about a time. A finding arrives after the
+// time that it needs on its way, so that the earliest is the most exact.
 func (q *Quarantine) crashOf(server string, at time.Duration) *crash {
 	for _, c := range q.crashes {
 		if c.server == server && (at-c.at).Abs() <= _sameCrash {
+			if at < c.at {
+				c.at = at
+				slices.SortStableFunc(q.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+			}
+
 			return c
 		}
 	}
@@ -386,10 +407,15 @@
 	return c
 }
 
-// explain ends the accusations of a crash.
-func (c *crash) explain() {
-	c.explained = true
-	clear(c.traits)
+// explained reports whether a trait is held that the crash accuses.
+func (q *Quarantine) explained(c *crash) bool {
+	for trait := range c.traits {
+		if _, held := q.held[trait]; held {
+			return true
+		}
+	}
+
+	return false
 }
 
 // clear records a whole answer at a time, and ends the earlier accusations of the
@@ -430,12 +456,15 @@
 	maps.DeleteFunc(q.completed, func(_ int, done completion) bool { return now-done.at >= median })
 }
 
-// tally counts the crashes that accuse a trait. depth is its greatest one, and
-// reached the time of the crash from which on there are enough to hold it.
+// tally counts the crashes that accuse a trait: all, and those that no held trait
+// explains. depth is its greatest one, first the time of the first crash without an
+// explanation, and reached that of the one from which on there are enough to hold it.
 type tally struct {
 	crashes     int
+	unexplained int
 	depth       int
-	first, last time.Duration
+	last        time.Duration
+	first       time.Duration
 	reached     time.Duration
 }
 
@@ -454,18 +483,20 @@
 		accused := explaining(tallies)
 		q.undecided = len(accused) > 0
 		settled := slices.DeleteFunc(slices.Clone(accused), func(trait int) bool { return !tallies[trait].settled(now, spread) })
-		if len(settled) == 0 || len(accused) > 1 && tallies[accused[0]].crashes < _minCrashesTied {
+		if len(settled) == 0 || len(accused) > 1 && tallies[accused[0]].unexplained < _minCrashesTied {
 			return
 		}
 		for _, trait := range settled {
-			if !q.hold(trait, tallies[trait].first, tallies[trait].crashes, now) {
+			if !q.hold(trait, tallies[trait].first, tallies[trait].unexplained, now) {
 				return
 			}
 		}
 	}
 }
 
-// explaining returns the most specific of the traits that may explain the crashes.
+// explaining returns the most specific of the traits that may explain the crashes. Those
+// that are explained already count in the comparison: a part that several held requests
+// have in common explains more than each of them.
 func explaining(tallies map[int]tally) []int {
 	most := 0
 	for _, t := range tallies {
@@ -474,7 +505,7 @@
 	var best []int
 	depth := 0
 	for trait, t := range tallies {
-		if t.crashes < _minCrashes || float64(t.crashes) < _nearMost*float64(most) || t.depth < depth {
+		if t.unexplained < _minCrashes || float64(t.crashes) < _nearMost*float64(most) || t.depth < depth {
 			continue
 		}
 		if t.depth > depth {
@@ -486,23 +517,17 @@
 	return best
 }
 
-// count returns how many crashes accuse each trait. Crashes within _separation
-// count as one.
+// count returns how many crashes accuse each trait. Crashes within _separation count
+// as one, unless all requests with the trait were sent after the one before.
 func (q *Quarantine) count() map[int]tally {
 	tallies := map[int]tally{}
 	for _, c := range q.crashes {
+		explained := q.explained(c)
 		for trait, a := range c.traits {
 			t, ok := tallies[trait]
-			if !ok {
-				t.first = c.at
-			}
 			t.depth = max(t.depth, a.depth)
-			if !ok || c.at-t.last >= _separation {
-				t.crashes++
-				t.last = c.at
-				if t.crashes == _minCrashes {
-					t.reached = c.at
-				}
+			if !ok || c.at-t.last >= _separation || a.sentAt >= t.last-_orderTolerance {
+				t.add(c.at, explained)
 			}
 			tallies[trait] = t
 		}
@@ -511,6 +536,22 @@
 	return tallies
 }
 
+// add counts a crash.
+func (t *tally) add(at time.Duration, explained bool) {
+	t.crashes++
+	t.last = at
+	if explained {
+		return
+	}
+	t.unexplained++
+	if t.unexplained == 1 {
+		t.first = at
+	}
+	if t.unexplained == _minCrashes {
+		t.reached = at
+	}
+}
+
 // hold holds a trait because of crashes from the time since on, as found here or, if
 // crashes is 0, by another instance. It reports whether the trait is held.
 func (q *Quarantine) hold(trait int, since time.Duration, crashes int, now time.Duration) bool {
@@ -532,11 +573,6 @@
 		q.changed = true
 		q.cfg.Log.Write(event.TraitHeld, zap.Int("Trait", trait), zap.Int("Crashes", crashes), zap.Duration("Since", now-since))
 	}
-	for _, c := range q.crashes {
-		if _, accused := c.traits[trait]; accused {
-			c.explain()
-		}
-	}
 
 	return true
 }
@@ -552,7 +588,7 @@
 	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool {
 		if len(c.traits) == 0 {
-			return now-c.at >= _explainedRetention
+			return now-c.at >= _clearedRetention
 		}
 
 		return now-c.at >= _holdDuration
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"papayastair.dev/papayastair/wire"
 )
@@ -20,8 +21,13 @@
 	_testDown     = 3300 * time.Millisecond
 	_testAnswer   = 900 * time.Millisecond
 	_testUntilRun = 80 * time.Millisecond
+	_testRan      = 50 * time.Millisecond
 	// _testDeadly crashes each server that begins to answer a request with it.
 	_testDeadly = 9999
+	// _testWhole is the first trait of whole requests, of which each new one has its own.
+	_testWhole = 1_000_000
+	// _testAgain is the time in which a caller sends a failed request again.
+	_testAgain = 30 * time.Millisecond
 	// _testProbed is the trait that the instance of newTest probes.
 	_testProbed = 8888
 )
@@ -44,6 +50,16 @@
 	// the other requests by workspace, and those of them that were held.
 	deadlySent     []time.Duration
 	sound, refused int
+	// requests is the number of requests so far, and losses are the servers that are
+	// about to be lost.
+	requests int
+	losses   []simLoss
+}
+
+// simLoss is a server that is lost at a time.
+type simLoss struct {
+	at     time.Duration
+	server int
 }
 
 type simServer struct {
@@ -54,10 +70,13 @@
 type simRun struct {
 	instance, server int
 	traits           []int
-	begins, ends     time.Duration
-	cut              bool
-	// repeats is the number of servers to which the request is sent if one crashes.
-	repeats int
+	deadly           bool
+	// sentAt is when it was sent to the server.
+	sentAt, begins, ends time.Duration
+	cut                  bool
+	// repeats is the number of servers to which the request is sent if one crashes, and
+	// here that of those to which this instance has sent it.
+	repeats, here int
 }
 
 type simMail struct {
@@ -84,8 +103,15 @@
 	loss     float64
 	lag      time.Duration
 	// repeats is the number of further servers to which a request with _testDeadly is
-	// sent, one after the other.
-	repeats int
+	// sent, one after the other, and soundRepeats that for other requests. After each
+	// two of them the caller sends it to another instance.
+	repeats      int
+	soundRepeats int
+	// whole is set if one request with _testDeadly comes again and again, and nothing
+	// that it shares with others crashes servers.
+	whole bool
+	// stagger is the time in which the servers of a loss are lost, one after the other.
+	stagger time.Duration
 	// restarts is the interval at which all instances end at once and start again.
 	restarts time.Duration
 }
@@ -127,16 +153,21 @@
 // crash ends a server: all instances that have requests there see it.
 func (sim *simulation) crash(server int) {
 	name := sim.name(server)
+	var ended []simRun
 	sim.runs = slices.DeleteFunc(sim.runs, func(r simRun) bool {
-		if r.server != server {
+		if r.server != server || r.sentAt > sim.now {
 			return false
 		}
-		sim.instances[r.instance].Crashed(name, r.traits)
+		sim.instances[r.instance].Crashed(name, r.traits, sim.now-r.sentAt)
+		ended = append(ended, r)
 
 		return true
 	})
 	sim.servers[server].starts++
 	sim.servers[server].downUntil = sim.now + _testDown
+	for _, r := range ended {
+		sim.repeat(r)
+	}
 }
 
 func (sim *simulation) run(p simPlan, d time.Duration) {
@@ -150,10 +181,22 @@
 		}
 		if p.together > 0 && sim.now-lastLoss >= p.together {
 			lastLoss = sim.now
-			for i := range len(sim.servers) / 3 {
-				sim.crash(i)
+			lost := max(len(sim.servers)/3, 1)
+			for i := range lost {
+				sim.losses = append(sim.losses, simLoss{
+					at:     sim.now + p.stagger*time.Duration(i)/time.Duration(lost),
+					server: i,
+				})
 			}
 		}
+		sim.losses = slices.DeleteFunc(sim.losses, func(l simLoss) bool {
+			if l.at > sim.now {
+				return false
+			}
+			sim.crash(l.server)
+
+			return true
+		})
 		if p.restarts > 0 && sim.now-lastRestart >= p.restarts {
 			lastRestart = sim.now
 			sim.restart(p)
@@ -167,9 +210,11 @@
 	r := simRun{
 		instance: sim.rng.IntN(len(sim.instances)),
 		server:   sim.rng.IntN(len(sim.servers)),
+		sentAt:   sim.now,
 		begins:   sim.now + _testUntilRun,
 		ends:     sim.now + _testUntilRun + time.Duration(float64(_testAnswer)*(0.5+sim.rng.Float64())),
 		cut:      sim.rng.Float64() < p.cuts,
+		here:     1,
 	}
 	deadly := sim.rng.Float64() < p.deadly
 	first := 0
@@ -181,10 +226,17 @@
 		workspace = 0
 	}
 	r.traits = []int{1, 100 + workspace}
+	sim.requests++
 	if deadly {
+		r.deadly = true
+		r.repeats = p.repeats
 		r.traits = append(r.traits, _testDeadly)
 	} else {
 		sim.sound++
+		r.repeats = p.soundRepeats
+	}
+	if !deadly || !p.whole {
+		r.traits = append(r.traits, _testWhole+sim.requests)
 	}
 	if _, left := sim.instances[r.instance].Find(r.traits); left > 0 {
 		if !deadly {
@@ -193,7 +245,6 @@
 
 		return
 	}
-	r.repeats = p.repeats
 	sim.send(r)
 }
 
@@ -208,7 +259,7 @@
 	if sim.now < sim.servers[r.server].downUntil {
 		return
 	}
-	if slices.Contains(r.traits, _testDeadly) {
+	if r.deadly {
 		sim.deadlySent = append(sim.deadlySent, sim.now)
 	}
 	sim.runs = append(sim.runs, r)
@@ -216,11 +267,24 @@
 
 // repeat sends a request whose server has crashed to another one, unless it is held.
 func (sim *simulation) repeat(r simRun) {
-	if _, left := sim.instances[r.instance].Find(r.traits); left > 0 || r.repeats == 0 {
+	if r.repeats == 0 {
+		return
+	}
+	if _, left := sim.instances[r.instance].Find(r.traits); left > 0 {
+		if !r.deadly {
+			sim.refused++
+		}
+
 		return
 	}
 	r.repeats--
-	r.begins = sim.now + _testUntilRun
+	r.sentAt = sim.now
+	if r.here++; r.here > 2 {
+		r.here = 1
+		r.instance = sim.rng.IntN(len(sim.instances))
+		r.sentAt += _testAgain
+	}
+	r.begins = r.sentAt + _testUntilRun
 	r.ends = r.begins + _testAnswer
 	sim.send(r)
 }
@@ -230,15 +294,14 @@
 	for i := 0; i < len(sim.runs); i++ {
 		r := sim.runs[i]
 		switch {
-		case slices.Contains(r.traits, _testDeadly) && sim.now >= r.begins:
+		case r.deadly && sim.now >= r.begins:
 			sim.crashes = append(sim.crashes, sim.now)
 			sim.crash(r.server)
-			sim.repeat(r)
 			i = -1
 		case sim.now >= r.ends:
 			sim.runs = slices.Delete(sim.runs, i, i+1)
 			if r.cut {
-				sim.instances[r.instance].Crashed(sim.name(r.server), r.traits)
+				sim.instances[r.instance].Crashed(sim.name(r.server), r.traits, sim.now-r.sentAt)
 			} else {
 				sim.instances[r.instance].Completed(r.traits)
 			}
@@ -352,7 +415,6 @@
 			wantHeld: []int{_testDeadly},
 		},
 		{
-			// Three servers that crash one after the other within _separation count once.
 			name: "each sent to three servers",
 			give: simPlan{
 				instances:  8,
@@ -389,6 +451,89 @@
 			},
 			wantHeld: []int{_testDeadly},
 		},
+		{
+			// All servers of the service end within _separation, and again when they are back.
+			name: "one request, few servers",
+			give: simPlan{
+				instances:  8,
+				servers:    3,
+				workspaces: 5,
+				perSecond:  20,
+				deadly:     0.1,
+				repeats:    2,
+				whole:      true,
+			},
+			crashes:  3,
+			wantHeld: []int{_testDeadly},
+		},
+		{
+			name: "one request, few servers, beside requests that are repeated",
+			give: simPlan{
+				instances:    8,
+				servers:      3,
+				workspaces:   5,
+				perSecond:    20,
+				deadly:       0.1,
+				repeats:      5,
+				soundRepeats: 5,
+				whole:        true,
+				loss:         0.1,
+			},
+			crashes:  3,
+			wantHeld: []int{_testDeadly},
+		},
+		{
+			name: "part, few servers",
+			give: simPlan{
+				instances:  8,
+				servers:    3,
+				workspaces: 5,
+				perSecond:  20,
+				deadly:     0.1,
+				repeats:    5,
+			},
+			wantHeld: []int{_testDeadly},
+		},
+		{
+			name: "part, few servers, beside requests that are repeated and servers that are lost",
+			give: simPlan{
+				instances:    8,
+				servers:      4,
+				workspaces:   5,
+				perSecond:    20,
+				deadly:       0.1,
+				repeats:      2,
+				soundRepeats: 2,
+				together:     7 * time.Second,
+			},
+			wantHeld: []int{_testDeadly},
+		},
+		{
+			name: "servers lost one after the other under requests that are repeated",
+			give: simPlan{
+				instances:    8,
+				servers:      9,
+				workspaces:   16,
+				perSecond:    70,
+				soundRepeats: 5,
+				together:     4 * time.Second,
+				stagger:      200 * time.Millisecond,
+			},
+		},
+		{
+			name: "few servers lost together under requests that are repeated",
+			give: simPlan{
+				instances:    8,
+				servers:      4,
+				workspaces:   16,
+				perSecond:    40,
+				cuts:         0.02,
+				soundRepeats: 5,
+				crashes:      0.5,
+				together:     6 * time.Second,
+				stagger:      50 * time.Millisecond,
+			},
+		},
 		{
 			name: "crashes of other causes alone",
 			give: simPlan{
@@ -408,7 +553,9 @@
 			sim := newSimulation(tt.give)
 			sim.run(tt.give, 40*time.Second)
 			for i, q := range sim.instances {
-				if diff := cmp.Diff(tt.wantHeld, q.Held()); diff != "" {
+				// Whole requests may be held as well: those that have the deadly part.
+				held := slices.DeleteFunc(q.Held(), func(trait int) bool { return trait >= _testWhole })
+				if diff := cmp.Diff(tt.wantHeld, held, cmpopts.EquateEmpty()); diff != "" {
 					t.Errorf("held by instance %d (-want +got):\n%s", i, diff)
 				}
 			}
@@ -451,7 +598,7 @@
 // accuseThrice lets three servers crash under requests with these traits.
 func accuseThrice(q *Quarantine, now *time.Duration, traits ...int) {
 	for i := range _minCrashes {
-		q.Crashed(fmt.Sprint("s", i), traits)
+		q.Crashed(fmt.Sprint("s", i), traits, _testRan)
 		*now += _settleTime
 	}
 	q.Snapshot(true)
@@ -478,22 +625,49 @@
 			name: "servers lost together",
 			give: func(q *Quarantine, now *time.Duration) {
 				for i := range 2 * _minCrashesTied {
-					q.Crashed(fmt.Sprint("s", i), []int{1})
+					q.Crashed(fmt.Sprint("s", i), []int{1}, _testRan)
 				}
 				*now += 2 * _settleTime
 				q.Snapshot(true)
 			},
 		},
+		{
+			name: "one request, sent to each of three servers after the one before has ended",
+			give: func(q *Quarantine, now *time.Duration) {
+				for i := range _minCrashes {
+					*now += 2 * _testRan
+					q.Crashed(fmt.Sprint("s", i), []int{1, 2}, _testRan)
+				}
+				*now += _settleTime
+				q.Snapshot(true)
+			},
+			want: []int{2},
+		},
+		{
+			// Each request alone may be at fault, but both have one part in common.
+			name: "two requests, sent to each of three servers",
+			give: func(q *Quarantine, now *time.Duration) {
+				for _, request := range []int{2, 3} {
+					for i := range _minCrashes {
+						*now += 2 * _testRan
+						q.Crashed(fmt.Sprint(request, "-", i), []int{1, request}, _testRan)
+					}
+					*now += _settleTime
+					q.Snapshot(true)
+				}
+			},
+			want: []int{1, 2},
+		},
 		{
 			name: "a whole answer between",
 			give: func(q *Quarantine, now *time.Duration) {
-				q.Crashed("a", []int{1})
+				q.Crashed("a", []int{1}, _testRan)
 				*now += _settleTime
-				q.Crashed("b", []int{1})
+				q.Crashed("b", []int{1}, _testRan)
 				*now += _settleTime
 				q.Completed([]int{1})
 				*now += _settleTime
-				q.Crashed("c", []int{1})
+				q.Crashed("c", []int{1}, _testRan)
 				*now += _settleTime
 				q.Snapshot(true)
 			},
@@ -546,13 +720,14 @@
 						AgeMS:  100,
 						Traits: []int{1, 2},
 						Depths: []int{0, 1},
+						RanMS:  []int{50, 50},
 					}}})
 				}
 				report("a")
 				*now += _settleTime
 				report("b")
 				*now += _settleTime
-				q.Crashed("c", []int{1})
+				q.Crashed("c", []int{1}, _testRan)
 				q.Snapshot(true)
 				*now += 100 * time.Millisecond
 				report("c")
@@ -579,6 +754,7 @@
 						AgeMS:  int((time.Duration(_minCrashes-i) * _settleTime).Milliseconds()),
 						Traits: []int{2},
 						Depths: []int{1},
+						RanMS:  []int{50},
 					}}})
 				}
 			},
@@ -593,6 +769,7 @@
 						AgeMS:  -5,
 						Traits: []int{1, 2},
 						Depths: []int{0},
+						RanMS:  []int{-5},
 					}}})
 					*now += _settleTime
 				}
@@ -641,7 +818,7 @@
 func TestBounds(t *testing.T) {
 	q, now := newTest()
 	for i := range 4 * _maxCrashes {
-		q.Crashed(fmt.Sprint("s", i), []int{2 * i, 2*i + 1})
+		q.Crashed(fmt.Sprint("s", i), []int{2 * i, 2*i + 1}, _testRan)
 		*now += time.Millisecond
 	}
 	for i := range 4 * _maxCompleted {
@@ -672,7 +849,7 @@
 		*now += time.Second
 		if _, left := q.Find([]int{_testProbed}); left == 0 {
 			probes = append(probes, (*now - start).Round(_probeInterval))
-			q.Crashed(fmt.Sprint("p", len(probes)), []int{_testProbed})
+			q.Crashed(fmt.Sprint("p", len(probes)), []int{_testProbed}, _testRan)
 		}
 		if _, left := q.Find([]int{1, _testProbed}); left == 0 {
 			t.Errorf("a request with a trait that another instance probes was sent after %s", *now-start)
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -197,6 +197,10 @@
 	// common to the most specific.
 	Depths []int `json:"Depths"`
 
+	// RanMS are the times from sending the first request with each trait to the
+	// crash.
+	RanMS []int `json:"RanMS"`
+
 	// Server is the backend server's id.
 	Server string `json:"Server"`
 
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -1446,9 +1446,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ServerCrash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "AgeMS"
-	o = append(o, 0x84, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
+	o = append(o, 0x85, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
 	o = msgp.AppendInt(o, z.AgeMS)
 	// string "Depths"
 	o = append(o, 0xa6, 0x44, 0x65, 0x70, 0x74, 0x68, 0x73)
@@ -1456,14 +1456,20 @@
 	for za0001 := range z.Depths {
 		o = msgp.AppendInt(o, z.Depths[za0001])
 	}
+	// string "RanMS"
+	o = append(o, 0xa5, 0x52, 0x61, 0x6e, 0x4d, 0x53)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.RanMS)))
+	for za0002 := range z.RanMS {
+		o = msgp.AppendInt(o, z.RanMS[za0002])
+	}
 	// string "Server"
 	o = append(o, 0xa6, 0x53, 0x65, 0x72, 0x76, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Server)
 	// string "Traits"
 	o = append(o, 0xa6, 0x54, 0x72, 0x61, 0x69, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Traits)))
-	for za0002 := range z.Traits {
-		o = msgp.AppendInt(o, z.Traits[za0002])
+	for za0003 := range z.Traits {
+		o = msgp.AppendInt(o, z.Traits[za0003])
 	}
 	return
 }
@@ -1515,6 +1521,29 @@
 					return
 				}
 			}
+		case "RanMS":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RanMS")
+				return
+			}
+			if zb0003 > z8e64899elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.RanMS) >= int(zb0003) {
+				z.RanMS = (z.RanMS)[:zb0003]
+			} else {
+				z.RanMS = make([]int, zb0003)
+			}
+			for za0002 := range z.RanMS {
+				z.RanMS[za0002], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "RanMS", za0002)
+					return
+				}
+			}
 		case "Server":
 			z.Server, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1522,25 +1551,25 @@
 				return
 			}
 		case "Traits":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Traits")
 				return
 			}
-			if zb0003 > z8e64899elimitArrays {
+			if zb0004 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Traits) >= int(zb0003) {
-				z.Traits = (z.Traits)[:zb0003]
+			if cap(z.Traits) >= int(zb0004) {
+				z.Traits = (z.Traits)[:zb0004]
 			} else {
-				z.Traits = make([]int, zb0003)
+				z.Traits = make([]int, zb0004)
 			}
-			for za0002 := range z.Traits {
-				z.Traits[za0002], bts, err = msgp.ReadIntBytes(bts)
+			for za0003 := range z.Traits {
+				z.Traits[za0003], bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Traits", za0002)
+					err = msgp.WrapError(err, "Traits", za0003)
 					return
 				}
 			}
@@ -1558,7 +1587,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ServerCrash) Msgsize() (s int) {
-	s = 1 + 6 + msgp.IntSize + 7 + msgp.ArrayHeaderSize + (len(z.Depths) * (msgp.IntSize)) + 7 + msgp.StringPrefixSize + len(z.Server) + 7 + msgp.ArrayHeaderSize + (len(z.Traits) * (msgp.IntSize))
+	s = 1 + 6 + msgp.IntSize + 7 + msgp.ArrayHeaderSize + (len(z.Depths) * (msgp.IntSize)) + 6 + msgp.ArrayHeaderSize + (len(z.RanMS) * (msgp.IntSize)) + 7 + msgp.StringPrefixSize + len(z.Server) + 7 + msgp.ArrayHeaderSize + (len(z.Traits) * (msgp.IntSize))
 	return
 }
 
