exchange: let an acknowledgement date a bulletin only if it is of this process's own

What callers saw (DRAIN): requests were sent to a server up to 174 ms and more after the bound from which on a leaving one gets none, by instances that were in touch, seconds after one instance or all had started again, and with nothing disturbed when the server left.

Cause: an instance dates a bulletin by its own clock, through the acknowledgement of one of its own bulletins that it carries. After a start, the others still acknowledge the process before. If the machine has started anew as well, that process's clock of elapsed time was another: what is heard then is dated hours ahead, and whatever has a date ahead of the clock is current for hours. The instance sends its evidence on, relative to its own clock, and the receivers date it ahead as well. So nobody asked the store for the servers' entries; other ways told of the server in the end.

Ruled out: bounds that add up to too much (ages of 1.3 to 2.2 s would show), two readers, requests that were queued or retried (they came 13 and 27 ms before).

Change: an acknowledgement names the start of the process whose bulletin it is of; one of another process says nothing. The same for the own bulletins that an aggregate includes. Considered: matching against the own bulletins that are kept, which needs no field, but 24 of them cover less than a second when bulletins are pushed.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -632,6 +632,7 @@
 
 	return append(list, wire.HeardBulletin{
 		Name:   name,
+		Start:  p.own.bulletin.Start,
 		SentMS: p.own.bulletin.SentMS,
 		HeldMS: p.own.ageMS(now),
 	})
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -320,7 +320,7 @@
 	p.leaving = b.Leaving
 	p.unansweredSince = 0
 	for _, heard := range b.Heard {
-		if heard.Name == v.name {
+		if v.isOwn(heard) {
 			notBefore = time.Duration(heard.SentMS+heard.HeldMS) * time.Millisecond
 		}
 	}
@@ -366,6 +366,13 @@
 	return notBefore, true
 }
 
+// isOwn reports whether an acknowledgement is of a bulletin of this process. One of an
+// earlier process says nothing: its clock may have been that of an earlier start of the
+// machine.
+func (v *view) isOwn(heard wire.HeardBulletin) bool {
+	return heard.Name == v.name && heard.Start == v.start
+}
+
 // meshBulletins returns the bulletins of a round in a full mesh.
 func (v *view) meshBulletins(own *wire.Bulletin, now time.Duration) []outgoing {
 	o := outgoing{b: own}
@@ -386,6 +393,7 @@
 
 	return append(list, wire.HeardBulletin{
 		Name:   name,
+		Start:  p.start,
 		SentMS: p.sentMS,
 		HeldMS: int((now - p.receivedAt).Milliseconds()),
 	})
@@ -405,7 +413,7 @@
 // kept.
 func (v *view) includedOwn(b *wire.Bulletin) *wire.Bulletin {
 	for _, heard := range b.Heard {
-		if heard.Name != v.name {
+		if !v.isOwn(heard) {
 			continue
 		}
 		for _, own := range v.sent {
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -141,6 +141,9 @@
 
 	// SentMS is what its bulletin said.
 	SentMS int `json:"SentMS"`
+
+	// Start is that of its process; another one's clock may be another.
+	Start int `json:"Start"`
 }
 
 // HeldTraits is the object in the store by which held traits outlast all
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -73,16 +73,11 @@
 	o = append(o, 0xa5, 0x48, 0x65, 0x61, 0x72, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Heard)))
 	for za0004 := range z.Heard {
-		// map header, size 3
-		// string "HeldMS"
-		o = append(o, 0x83, 0xa6, 0x48, 0x65, 0x6c, 0x64, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Heard[za0004].HeldMS)
-		// string "Name"
-		o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Heard[za0004].Name)
-		// string "SentMS"
-		o = append(o, 0xa6, 0x53, 0x65, 0x6e, 0x74, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Heard[za0004].SentMS)
+		o, err = z.Heard[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Heard", za0004)
+			return
+		}
 	}
 	// string "Held"
 	o = append(o, 0xa4, 0x48, 0x65, 0x6c, 0x64)
@@ -341,62 +336,27 @@
 				z.Heard = make([]HeardBulletin, zb0006)
 			}
 			for za0004 := range z.Heard {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Heard[za0004].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Heard", za0004)
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Heard", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "HeldMS":
-						z.Heard[za0004].HeldMS, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0004, "HeldMS")
-							return
-						}
-					case "Name":
-						z.Heard[za0004].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0004, "Name")
-							return
-						}
-					case "SentMS":
-						z.Heard[za0004].SentMS, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0004, "SentMS")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Heard", za0004)
-							return
-						}
-					}
-				}
 			}
 		case "Held":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Held")
 				return
 			}
-			if zb0008 > z8e64899elimitArrays {
+			if zb0007 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Held) >= int(zb0008) {
-				z.Held = (z.Held)[:zb0008]
+			if cap(z.Held) >= int(zb0007) {
+				z.Held = (z.Held)[:zb0007]
 			} else {
-				z.Held = make([]ServerTargets, zb0008)
+				z.Held = make([]ServerTargets, zb0007)
 			}
 			for za0005 := range z.Held {
 				bts, err = z.Held[za0005].UnmarshalMsg(bts)
@@ -412,30 +372,30 @@
 				return
 			}
 		case "Members":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if zb0009 > z8e64899elimitArrays {
+			if zb0008 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Members) >= int(zb0009) {
-				z.Members = (z.Members)[:zb0009]
+			if cap(z.Members) >= int(zb0008) {
+				z.Members = (z.Members)[:zb0008]
 			} else {
-				z.Members = make([]ListedInstance, zb0009)
+				z.Members = make([]ListedInstance, zb0008)
 			}
 			for za0006 := range z.Members {
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0006)
 					return
 				}
-				for zb0010 > 0 {
-					zb0010--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Members", za0006)
@@ -470,20 +430,20 @@
 				return
 			}
 		case "Needs":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Needs")
 				return
 			}
-			if zb0011 > z8e64899elimitArrays {
+			if zb0010 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Needs) >= int(zb0011) {
-				z.Needs = (z.Needs)[:zb0011]
+			if cap(z.Needs) >= int(zb0010) {
+				z.Needs = (z.Needs)[:zb0010]
 			} else {
-				z.Needs = make([]string, zb0011)
+				z.Needs = make([]string, zb0010)
 			}
 			for za0007 := range z.Needs {
 				z.Needs[za0007], bts, err = msgp.ReadStringBytes(bts)
@@ -499,30 +459,30 @@
 				return
 			}
 		case "Running":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Running")
 				return
 			}
-			if zb0012 > z8e64899elimitArrays {
+			if zb0011 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Running) >= int(zb0012) {
-				z.Running = (z.Running)[:zb0012]
+			if cap(z.Running) >= int(zb0011) {
+				z.Running = (z.Running)[:zb0011]
 			} else {
-				z.Running = make([]ServerCount, zb0012)
+				z.Running = make([]ServerCount, zb0011)
 			}
 			for za0008 := range z.Running {
-				var zb0013 uint32
-				zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Running", za0008)
 					return
 				}
-				for zb0013 > 0 {
-					zb0013--
+				for zb0012 > 0 {
+					zb0012--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Running", za0008)
@@ -569,20 +529,20 @@
 				return
 			}
 		case "Shards":
-			var zb0014 uint32
-			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Shards")
 				return
 			}
-			if zb0014 > z8e64899elimitArrays {
+			if zb0013 > z8e64899elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Shards) >= int(zb0014) {
-				z.Shards = (z.Shards)[:zb0014]
+			if cap(z.Shards) >= int(zb0013) {
+				z.Shards = (z.Shards)[:zb0013]
 			} else {
-				z.Shards = make([]StewardShard, zb0014)
+				z.Shards = make([]StewardShard, zb0013)
 			}
 			for za0009 := range z.Shards {
 				bts, err = z.Shards[za0009].UnmarshalMsg(bts)
@@ -637,7 +597,7 @@
 	}
 	s += 14 + msgp.IntSize + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 9 + z.Findings.Msgsize() + 6 + msgp.ArrayHeaderSize
 	for za0004 := range z.Heard {
-		s += 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Heard[za0004].Name) + 7 + msgp.IntSize
+		s += z.Heard[za0004].Msgsize()
 	}
 	s += 5 + msgp.ArrayHeaderSize
 	for za0005 := range z.Held {
@@ -1048,11 +1008,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z HeardBulletin) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *HeardBulletin) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "HeldMS"
-	o = append(o, 0x83, 0xa6, 0x48, 0x65, 0x6c, 0x64, 0x4d, 0x53)
+	o = append(o, 0x84, 0xa6, 0x48, 0x65, 0x6c, 0x64, 0x4d, 0x53)
 	o = msgp.AppendInt(o, z.HeldMS)
 	// string "Name"
 	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
@@ -1060,6 +1020,9 @@
 	// string "SentMS"
 	o = append(o, 0xa6, 0x53, 0x65, 0x6e, 0x74, 0x4d, 0x53)
 	o = msgp.AppendInt(o, z.SentMS)
+	// string "Start"
+	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x72, 0x74)
+	o = msgp.AppendInt(o, z.Start)
 	return
 }
 
@@ -1099,6 +1062,12 @@
 				err = msgp.WrapError(err, "SentMS")
 				return
 			}
+		case "Start":
+			z.Start, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Start")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1112,8 +1081,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z HeardBulletin) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.IntSize
+func (z *HeardBulletin) Msgsize() (s int) {
+	s = 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.IntSize + 6 + msgp.IntSize
 	return
 }
 
