objectstore, platform: versions that grow when the store is restored from a copy

Cause: revisions were compared as if they only grew. After the return each answer was older than what was known, and left out, until the store had given out as many revisions again. Class of fault: an order that one incarnation of a system gives out, taken for one over all of them.

Ruled out: a change that the operator doesn't write again in time (the first list has it); a configuration that goes back (versions never do in one process).

Change: a version is a revision with its epoch, as one number, so that every comparison holds, fences and the versions in bulletins included. What depends on a version of an earlier epoch is refused before it is sent, as its revision may be another change's now: a watch as gone, a write as a conflict; a write that the store took all the same is unknown. An instance shares no changes across epochs, as others may have known more than it did: they list the objects themselves. The stand-in store can be copied and restored.

Considered: the epoch as a field of its own in each type and comparison; 14 places would have to compare both, and each bulletin and lease to carry it.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -357,14 +357,17 @@
 	}
 	first := c.queriedAt == _neverChecked
 	c.queriedAt = queriedAt
-	if first {
-		c.after, c.upTo = l.Version, l.Version
-	}
 	if l.Version < c.upTo {
 		return
 	}
+	// What the store has lost is not a change from what others know, which may be more
+	// than what this instance knew: they have to list the objects themselves.
+	anew := first || objectstore.Epoch(l.Version) > objectstore.Epoch(c.upTo)
+	if anew {
+		c.after, c.upTo = l.Version, l.Version
+	}
 	c.record(c.upTo, c.difference(l))
-	if first {
+	if anew {
 		c.recent = nil
 	}
 	if first && c.cfg.SettleTime > 0 {
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -17,7 +17,10 @@
 )
 
 // Store is access to the object API. All functions are safe for concurrent
-// use and return an *Error when they fail.
+// use and return an *Error when they fail. Versions of objects and lists are those of
+// Version: they never go back, also when the store is restored from a copy. A write
+// conditional on a version of an earlier epoch fails with CodeConflict, or with
+// CodeUnknown if the store took it for one of its own epoch.
 type Store struct {
 	// Get reads one object. CodeNotFound if it doesn't exist.
 	Get func(ctx context.Context, kind, name string) (wire.Object, error)
@@ -34,7 +37,7 @@
 	// Watch waits until objects of a kind have changed after a revision of
 	// the store and returns the changed ones, deleted ones with an empty
 	// value. An answer without objects means that the wait ended. CodeGone
-	// means that the revision is too old: list again.
+	// means that the revision is too old, or of an earlier epoch: list again.
 	Watch func(ctx context.Context, kind string, after int) (wire.ObjectList, error)
 }
 
@@ -66,7 +69,8 @@
 	Name string
 	// Code says what became of the call.
 	Code Code
-	// Version is the object's current version, with CodeConflict only.
+	// Version is the object's current version with CodeConflict, and with CodeNotFound
+	// the lowest one of the store's epoch. It is 0 if unknown.
 	Version int
 	// Reason is for people.
 	Reason string
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,6 +100,8 @@
 }
 
 func (p *Platform) handle(ctx context.Context, r *fasthttp.RequestCtx) {
+	// An error resets the answer's fields.
+	defer func() { r.Response.Header.Set("Store-Era", strconv.Itoa(p.Store.Epoch())) }()
 	parts, ok := splitPath(string(r.URI().PathOriginal()))
 	if !ok {
 		r.Error("path can't be decoded", fasthttp.StatusBadRequest)
@@ -166,7 +169,7 @@
 	return storedObject{
 		Metadata: storedMetadata{
 			Name: o.Name,
-			Rev:  o.Version,
+			Rev:  objectstore.Revision(o.Version),
 		},
 		Spec: spec,
 	}
@@ -195,7 +198,7 @@
 		AsOf    int            `json:"as_of"`
 	}{
 		Items: []storedObject{},
-		AsOf:  list.Version,
+		AsOf:  objectstore.Revision(list.Version),
 	}
 	slices.SortFunc(list.Objects, func(a, b wire.Object) int { return strings.Compare(a.Name, b.Name) })
 	for _, o := range list.Objects {
@@ -230,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	list, err := p.Store.watch(ctx, kind, after)
+	list, err := p.Store.watch(ctx, kind, objectstore.Version(p.Store.Epoch(), after))
 	type change struct {
 		Removed bool         `json:"removed"`
 		Object  storedObject `json:"object"`
@@ -240,7 +243,7 @@
 		AsOf   int      `json:"as_of"`
 	}{
 		Events: []change{},
-		AsOf:   list.Version,
+		AsOf:   objectstore.Revision(list.Version),
 	}
 	for _, o := range list.Objects {
 		changes.Events = append(changes.Events, change{
@@ -292,10 +295,12 @@
 		body.Metadata.Rev = 0
 	}
 	object := wire.Object{
-		Kind:    kind,
-		Name:    name,
-		Version: body.Metadata.Rev,
-		Value:   string(body.Spec),
+		Kind:  kind,
+		Name:  name,
+		Value: string(body.Spec),
+	}
+	if body.Metadata.Rev > 0 {
+		object.Version = objectstore.Version(p.Store.Epoch(), body.Metadata.Rev)
 	}
 	var text string
 	if json.Unmarshal(body.Spec, &text) == nil {
--- a/standin/store.go
+++ b/standin/store.go
@@ -40,7 +40,9 @@
 // Store is the object API in memory, with versions, conditional updates,
 // watches, call counting and failures. Use NewStore.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// epoch is the number of restores.
+	epoch    int
 	revision int
 	objects  map[objectKey]wire.Object
 	stale    staleState
@@ -58,6 +60,12 @@
 	objects  map[objectKey]wire.Object
 }
 
+// StoreCopy is the state of a Store at a time.
+type StoreCopy struct {
+	revision int
+	objects  map[objectKey]wire.Object
+}
+
 type objectKey struct {
 	kind string
 	name string
@@ -87,6 +95,38 @@
 	s.notify()
 }
 
+// Copy returns the store's state, for Restore.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return StoreCopy{
+		revision: s.revision,
+		objects:  maps.Clone(s.objects),
+	}
+}
+
+// Restore replaces the store's state by a copy. What was written since is lost, its
+// revisions are given out again, and a new epoch begins.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.revision = c.revision
+	s.objects = maps.Clone(c.objects)
+	s.history = nil
+	s.dropped = c.revision
+	s.notify()
+}
+
+// Epoch is the number of restores.
+func (s *Store) Epoch() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.epoch
+}
+
 // Faults are the failures in force.
 func (s *Store) Faults() StoreFaults {
 	s.mu.Lock()
@@ -126,10 +166,10 @@
 	defer s.mu.Unlock()
 	object, ok := objects[objectKey{kind: kind, name: name}]
 	if !ok {
-		return wire.Object{}, failure("get", kind, name, objectstore.CodeNotFound, 0)
+		return wire.Object{}, failure("get", kind, name, objectstore.CodeNotFound, objectstore.Version(s.epoch, 0))
 	}
 
-	return object, nil
+	return s.versioned(object), nil
 }
 
 func (s *Store) list(ctx context.Context, kind string) (wire.ObjectList, error) {
@@ -138,10 +178,10 @@
 		return wire.ObjectList{}, err
 	}
 	defer s.mu.Unlock()
-	list := wire.ObjectList{Version: s.readRevision()}
+	list := wire.ObjectList{Version: objectstore.Version(s.epoch, s.readRevision())}
 	for key, object := range objects {
 		if key.kind == kind {
-			list.Objects = append(list.Objects, object)
+			list.Objects = append(list.Objects, s.versioned(object))
 		}
 	}
 	slices.SortFunc(list.Objects, func(a, b wire.Object) int { return cmp.Compare(a.Name, b.Name) })
@@ -181,8 +221,9 @@
 		return 0, failure(op, object.Kind, object.Name, objectstore.CodeNotRun, 0)
 	}
 	key := objectKey{kind: object.Kind, name: object.Name}
-	if current := s.objects[key].Version; current != object.Version {
-		return 0, failure(op, object.Kind, object.Name, objectstore.CodeConflict, current)
+	expected := object.Version
+	if current := s.objects[key].Version; current != objectstore.Revision(expected) || expected != 0 && objectstore.Epoch(expected) != s.epoch {
+		return 0, failure(op, object.Kind, object.Name, objectstore.CodeConflict, objectstore.Version(s.epoch, current))
 	}
 	s.revision++
 	object.Version = s.revision
@@ -200,7 +241,14 @@
 		return 0, failure(op, object.Kind, object.Name, objectstore.CodeUnknown, 0)
 	}
 
-	return s.revision, nil
+	return objectstore.Version(s.epoch, s.revision), nil
+}
+
+// versioned returns an object with its version in the store's epoch. The lock is held.
+func (s *Store) versioned(object wire.Object) wire.Object {
+	object.Version = objectstore.Version(s.epoch, object.Version)
+
+	return object
 }
 
 func (s *Store) watch(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
@@ -208,12 +256,12 @@
 		return wire.ObjectList{}, err
 	}
 	for {
-		if after < s.dropped {
+		if revision := objectstore.Revision(after); objectstore.Epoch(after) != s.epoch || revision < s.dropped || revision > s.revision {
 			s.mu.Unlock()
 
 			return wire.ObjectList{}, failure("watch", kind, "", objectstore.CodeGone, 0)
 		}
-		list := s.changesAfter(kind, after)
+		list := s.changesAfter(kind, objectstore.Revision(after))
 		changed, down := s.changed, s.faults.Down
 		s.mu.Unlock()
 		if down {
@@ -243,7 +291,7 @@
 // changesAfter returns the last state of each object of a kind written after
 // a revision. The lock is held.
 func (s *Store) changesAfter(kind string, after int) wire.ObjectList {
-	list := wire.ObjectList{Version: s.readRevision()}
+	list := wire.ObjectList{Version: objectstore.Version(s.epoch, s.readRevision())}
 	if s.faults.Stale {
 		return list
 	}
@@ -256,12 +304,12 @@
 			continue
 		}
 		if i, ok := last[object.Name]; ok {
-			list.Objects[i] = object
+			list.Objects[i] = s.versioned(object)
 
 			continue
 		}
 		last[object.Name] = len(list.Objects)
-		list.Objects = append(list.Objects, object)
+		list.Objects = append(list.Objects, s.versioned(object))
 	}
 
 	return list
