entry: take no answer for evidence that shows less than what is in force

Cause: each answer of the store was evidence that the configuration in force is the newest. A store that was restored from a copy answers with an older one, or with the same one though a newer has been acknowledged and lost.

Ruled out: a configuration that goes back within a process; versions never do.

Change: an answer is evidence if it shows at least the version in force here and the newest announced, and, within 2 s of the first answer of a new epoch (the time in which entries return), only if the object is known to have been written in it. An instance whose own version comes from such an answer gives up its evidence as soon as a query lacks what was announced before. DeclarationOlder tells it.

What remains: for the time in which an instance that has just started hears from no other one (0.1 to 0.3 s) it can't know; if all start on the copy, nobody does.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -36,6 +36,8 @@
 	// keys are refused. It covers the time from the last check to the last byte
 	// sent.
 	_revocationMargin = 700 * time.Millisecond
+	// _noEpoch is the epoch of a store that has not answered yet.
+	_noEpoch = -1
 	// _recordKind is the kind of the instances' records in the store.
 	_recordKind = "papayastair-entries"
 	// _recordExpiry is how long an instance must be silent before another one
@@ -54,7 +56,7 @@
 }
 
 func (v *evidence) init() {
-	v.at = -1 << 62
+	v.reset()
 	v.lost = true
 }
 
@@ -80,6 +82,13 @@
 	return timer.Elapsed() - v.at
 }
 
+// reset forgets the evidence.
+func (v *evidence) reset() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.at = -1 << 62
+}
+
 // markLost marks the evidence as lost and reports whether it was not before.
 func (v *evidence) markLost() bool {
 	v.mu.Lock()
@@ -103,6 +112,8 @@
 		entry:      e,
 		store:      e.cfg.Store("Configuration", shareOf(e.configurationBound(), _watchShare)),
 		watchFirst: e.cfg.Store("Configuration", _firstWatchTimeout).Watch,
+		epoch:      _noEpoch,
+		epochAt:    _neverChecked,
 	}
 	objectstore.Follow(e.ctx, objectstore.FollowConfig{
 		Store: objectstore.Store{
@@ -111,13 +122,11 @@
 		},
 		Kind: d.ConfigurationKind,
 		Changed: func(object wire.Object) {
-			if object.Name == d.ConfigurationName && object.Value != "" {
-				e.applyConfiguration(object)
+			if object.Name == d.ConfigurationName {
+				r.take(object)
 			}
 		},
-		// Each answer is evidence that the configuration has not changed, for this
-		// instance and those that receive its bulletins.
-		Current: func(int) { e.updateEvidence(r.queriedAt) },
+		Current: r.updateEvidence,
 		Log:     e.cfg.Log,
 		Sleep:   func(ctx context.Context, d time.Duration) error { return e.sleepConfiguration(ctx, d, r.failed) },
 	})
@@ -133,12 +142,80 @@
 	failed     failedQueries
 	// queriedAt is the time of the last query whose answer shows what was in force then.
 	queriedAt time.Duration
-	// announced is the last version that was looked for in an answer that may be old.
+	// announced is the last version that was looked for in an answer that may be old, and
+	// expected the newest one that had been announced before the query at queriedAt.
 	announced int64
+	expected  int64
+	// shown is the version of the configuration that the store has, and revision that of
+	// its object. rewritten is set once the object is known to have been written in the
+	// store's present epoch, which began at epochAt; _noEpoch and _neverChecked for none.
+	shown     int
+	revision  int
+	rewritten bool
+	epoch     int
+	epochAt   time.Duration
+}
+
+// enterEpoch notes the store's epoch in an answer.
+func (r *configurationReader) enterEpoch(epoch int) {
+	if epoch == r.epoch {
+		return
+	}
+	if r.epoch != _noEpoch {
+		r.epochAt = timer.Elapsed()
+	}
+	r.epoch = epoch
+	r.rewritten = false
+	r.revision = 0
 }
 
-func (r *configurationReader) list(ctx context.Context, kind string) (wire.ObjectList, error) {
+// take applies the store's configuration if it is newer than the one in force, and notes
+// what it shows. What was written before the store was restored has the revision that it
+// had then, if the store has not lost it.
+func (r *configurationReader) take(object wire.Object) {
+	r.enterEpoch(objectstore.Epoch(object.Version))
+	inForce := r.entry.current.Load()
+	r.shown = 0
+	if object.Value != "" {
+		r.shown = r.entry.applyConfiguration(object)
+	}
+	differs := inForce != nil && (r.shown > inForce.Version ||
+		r.shown == inForce.Version && objectstore.Revision(object.Version) != objectstore.Revision(inForce.Revision))
+	r.rewritten = r.rewritten || differs || r.revision != 0 && object.Version != r.revision
+	r.revision = object.Version
+}
+
+// updateEvidence takes an answer as evidence that the configuration in force is the
+// newest, for this instance and those that receive its bulletins. One that shows less than
+// what is in force here or elsewhere is none: the store was restored from a copy and has lost
+// changes. It may also have lost one that no instance has seen, until its writer has had
+// time to write it again.
+func (r *configurationReader) updateEvidence(revision int) {
+	e := r.entry
+	r.enterEpoch(objectstore.Epoch(revision))
+	cfg := e.current.Load()
+	if cfg == nil {
+		return
+	}
+	newest := max(cfg.Version, int(e.newestVersion.Load()))
+	written := r.rewritten || timer.Elapsed()-r.epochAt >= e.cfg.Settings.Bounds.EntryReturn
+	if r.shown >= newest && written {
+		e.updateEvidence(r.queriedAt)
+	}
+	if lacking := int(r.expected); cfg.Version < lacking && r.shown < lacking {
+		// What is in force here was read from such an answer.
+		e.evidence.reset()
+	}
+}
+
+// startQuery notes the time of a query and what its answer has to show.
+func (r *configurationReader) startQuery() {
 	r.queriedAt = timer.Elapsed()
+	r.expected = r.entry.newestVersion.Load()
+}
+
+func (r *configurationReader) list(ctx context.Context, kind string) (wire.ObjectList, error) {
+	r.startQuery()
 	l, err := r.store.List(ctx, kind)
 	r.failed.recordList(err)
 
@@ -160,7 +237,7 @@
 	if e.current.Load() == nil {
 		query = r.watchFirst
 	}
-	r.queriedAt = timer.Elapsed()
+	r.startQuery()
 	l, err := query(ctx, kind, after)
 	r.failed.recordWatch(err)
 
@@ -257,18 +334,22 @@
 	}
 }
 
-func (e *Entry) applyConfiguration(object wire.Object) {
+// applyConfiguration puts a configuration in force unless a newer one is. It returns the
+// version of the configuration, 0 if it can't be decoded.
+func (e *Entry) applyConfiguration(object wire.Object) int {
 	cfg, err := e.cfg.Codec.DecodeConfiguration(object.Value)
 	if err != nil {
 		e.cfg.Log.Write(event.DeclarationRefused, zap.Int("Revision", object.Version), zap.Error(err))
 
-		return
+		return 0
 	}
 	cfg.Revision = object.Version
 	cfg.Index()
 	current := e.current.Load()
 	if current != nil && current.Version > cfg.Version {
-		return
+		e.cfg.Log.Write(event.DeclarationOlder, zap.Int("Version", cfg.Version), zap.Int("InForce", current.Version), zap.Int("Revision", cfg.Revision))
+
+		return cfg.Version
 	}
 	if current == nil {
 		time.AfterFunc(_heldReadBound, func() { e.held.known.Store(true) })
@@ -282,6 +363,8 @@
 	}
 	e.cfg.Log.Write(event.DeclarationTaken, zap.Int("Version", cfg.Version), zap.Int("Revision", cfg.Revision),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Services", len(cfg.Services)), zap.Int("Workspaces", len(cfg.Workspaces)))
+
+	return cfg.Version
 }
 
 // effectiveLimits returns the limits of a configuration, with those that it
--- a/event/entry.go
+++ b/event/entry.go
@@ -19,6 +19,7 @@
 	EntryCut           = declare(6016, "EntryCut", zapcore.WarnLevel, "The process closed the connection of a request without a complete answer, because the process is ending.")
 	DeclarationTaken   = declare(6020, "DeclarationTaken", zapcore.InfoLevel, "A new version of the configuration took effect on this instance.")
 	DeclarationRefused = declare(6021, "DeclarationRefused", zapcore.WarnLevel, "A configuration in the store can't be read; the previous one stays in effect.")
+	DeclarationOlder   = declare(6024, "DeclarationOlder", zapcore.WarnLevel, "The store has an older configuration than the one in effect, which stays; it was restored from a copy.")
 	EvidenceLost       = declare(6022, "EvidenceLost", zapcore.WarnLevel, "The configuration was not confirmed as current for too long; requests with API keys are refused.")
 	EvidenceRegained   = declare(6023, "EvidenceRegained", zapcore.InfoLevel, "The configuration is confirmed as current again.")
 	ServerRegistered   = declare(6030, "ServerRegistered", zapcore.InfoLevel, "A backend server's entry is new or has changed.")
