entry: don't use again a server that left before the store was restored

What callers saw: in reach was DRAIN; seen were refusals. A store that comes back from a copy shows servers ready that have said since that they leave, or whose entries were removed, and lacks servers that have come since.

Cause: the entry in the store was taken for the latest that its server has written. And a missing entry was kept for the time in which entries return only by instances whose own call had failed; where others read for them, none had.

Ruled out: versions; the copy's entries have higher ones than the removed, as they should.

Change: a start of a server that has said that it leaves, or was gone, in an earlier epoch stays leaving when a copy brings its entry back, until the entry changes; one that was only gone also after 4 s, in which the entry of a silent server has lapsed (ServerRestored). An instance's first list of a new epoch counts as an outage for entries that are missing.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -36,6 +36,10 @@
 	// keys are refused. It covers the time from the last check to the last byte
 	// sent.
 	_revocationMargin = 700 * time.Millisecond
+	// _lapseTime is the time after which the entry of a silent backend server has lapsed.
+	_lapseTime = 4 * time.Second
+	// _maxDeparted bounds the backend servers that have left and are remembered.
+	_maxDeparted = 4096
 	// _noEpoch is the epoch of a store that has not answered yet.
 	_noEpoch = -1
 	// _recordKind is the kind of the instances' records in the store.
@@ -420,6 +424,10 @@
 		entry:   e,
 		missing: map[string]bool{},
 		logged:  map[string]site.BackendServer{},
+		epoch:   _noEpoch,
+
+		departed: map[string]departure{},
+		restored: map[string]int{},
 	}
 	objectstore.Follow(e.ctx, objectstore.FollowConfig{
 		Store:   e.share(e.serverChanges, "Servers", f.wrap),
@@ -482,6 +490,21 @@
 	// logged holds the entries as they were last logged. The models that a backend
 	// server holds change all the time; its steward logs them.
 	logged map[string]site.BackendServer
+	// epoch is that of the store's latest answer.
+	epoch int
+	// departed holds the backend servers that have said that they leave, or whose entries
+	// were removed, and restored the versions of the entries of such that a store that was
+	// restored from a copy has brought back.
+	departed map[string]departure
+	restored map[string]int
+}
+
+// departure is what is known of a start of a backend server that leaves or has left, as of
+// an epoch of the store.
+type departure struct {
+	born    int64
+	epoch   int
+	leaving bool
 }
 
 // wrap returns the store with calls whose failures are recorded.
@@ -490,6 +513,9 @@
 	store.List = func(ctx context.Context, kind string) (wire.ObjectList, error) {
 		l, err := list(ctx, kind)
 		f.recordFailure(err)
+		if err == nil {
+			f.enterEpoch(objectstore.Epoch(l.Version))
+		}
 
 		return l, err
 	}
@@ -515,6 +541,18 @@
 	f.failedAt = timer.Elapsed()
 }
 
+// enterEpoch notes the epoch of a list. A store that was restored from a copy may have
+// lost entries, which return as after an outage.
+func (f *serverFollower) enterEpoch(epoch int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.epoch != _noEpoch && epoch > f.epoch {
+		f.failed = true
+		f.failedAt = timer.Elapsed()
+	}
+	f.epoch = max(f.epoch, epoch)
+}
+
 // grace returns how long a missing entry may still return after a recent outage
 // of the store.
 func (f *serverFollower) grace() time.Duration {
@@ -549,9 +587,16 @@
 
 		return
 	}
+	f.applyDeparture(&entry, object.Version)
+	f.apply(entry, object.Version)
+}
+
+// apply puts the entry of a backend server in effect.
+func (f *serverFollower) apply(entry site.BackendServer, version int) {
+	e := f.entry
 	if was, ok := f.logged[entry.ID]; !ok || was.Draining != entry.Draining || was.Born != entry.Born || was.Address != entry.Address {
 		e.cfg.Log.Write(event.ServerRegistered, zap.String("Server", entry.ID), zap.String("Service", entry.Service), zap.String("Address", entry.Address),
-			zap.Bool("Draining", entry.Draining), zap.Int("Models", len(entry.Models)), zap.Int("Revision", object.Version))
+			zap.Bool("Draining", entry.Draining), zap.Int("Models", len(entry.Models)), zap.Int("Revision", version))
 	}
 	f.logged[entry.ID] = entry
 	e.balancer.SetServer(entry)
@@ -559,6 +604,54 @@
 	e.wakeWaiters()
 }
 
+// applyDeparture marks the entry of a backend server as leaving that an earlier epoch of
+// the store has shown to leave or to be gone: it is from the copy from which the store was
+// restored. If the server is there after all, its entry changes, or is still there after
+// _lapseTime.
+func (f *serverFollower) applyDeparture(entry *site.BackendServer, version int) {
+	epoch := objectstore.Epoch(version)
+	id := entry.ID
+	d, ok := f.departed[id]
+	switch {
+	case !ok || d.born != entry.Born || epoch <= d.epoch || entry.Draining:
+		delete(f.departed, id)
+		delete(f.restored, id)
+	case d.leaving:
+		entry.Draining = true
+	case f.restored[id] == 0:
+		entry.Draining = true
+		f.restored[id] = version
+		f.entry.cfg.Log.Write(event.ServerRestored, zap.String("Server", id), zap.Int("Revision", version))
+		held := *entry
+		time.AfterFunc(_lapseTime, func() { f.readmit(held, version) })
+	case f.restored[id] == version:
+		entry.Draining = true
+	default:
+		delete(f.departed, id)
+		delete(f.restored, id)
+	}
+	if entry.Draining && f.restored[id] == 0 {
+		f.departed[id] = departure{
+			born:    entry.Born,
+			epoch:   epoch,
+			leaving: true,
+		}
+	}
+}
+
+// readmit uses a backend server whose entry was brought back and has not lapsed.
+func (f *serverFollower) readmit(entry site.BackendServer, version int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.restored[entry.ID] != version || f.entry.ctx.Err() != nil {
+		return
+	}
+	delete(f.departed, entry.ID)
+	delete(f.restored, entry.ID)
+	entry.Draining = false
+	f.apply(entry, version)
+}
+
 // removeMissing removes an entry that has not returned.
 func (f *serverFollower) removeMissing(id string) {
 	f.mu.Lock()
@@ -569,6 +662,20 @@
 }
 
 func (f *serverFollower) remove(id string) {
+	if was, ok := f.logged[id]; ok {
+		f.departed[id] = departure{
+			born:    was.Born,
+			epoch:   f.epoch,
+			leaving: was.Draining && f.restored[id] == 0,
+		}
+	}
+	for other := range f.departed {
+		if len(f.departed) <= _maxDeparted {
+			break
+		}
+		delete(f.departed, other)
+	}
+	delete(f.restored, id)
 	delete(f.missing, id)
 	delete(f.logged, id)
 	e := f.entry
--- a/event/entry.go
+++ b/event/entry.go
@@ -24,6 +24,7 @@
 	EvidenceRegained   = declare(6023, "EvidenceRegained", zapcore.InfoLevel, "The configuration is confirmed as current again.")
 	ServerRegistered   = declare(6030, "ServerRegistered", zapcore.InfoLevel, "A backend server's entry is new or has changed.")
 	ServerGone         = declare(6031, "ServerGone", zapcore.InfoLevel, "A backend server's entry was removed; the server gets no new requests.")
+	ServerRestored     = declare(6036, "ServerRestored", zapcore.InfoLevel, "A store that was restored from a copy has the entry of a backend server that was gone; the server gets no requests until the entry changes or has had time to lapse.")
 	ServerUnreadable   = declare(6032, "ServerUnreadable", zapcore.WarnLevel, "A backend server's entry can't be read and describes no usable server.")
 	ServerAdvised      = declare(6035, "ServerAdvised", zapcore.InfoLevel, "A backend server asks something else of its callers than before, by an answer to this instance or to another one: a limit on the requests of all instances, or none any more, no more requests as it leaves, or none from this instance for a while. What can't be read has no effect and is logged once.")
 	ServersStale       = declare(6033, "ServersStale", zapcore.WarnLevel, "The backend servers' entries were not confirmed as current for longer than the bound on leaving servers; requests may reach one that leaves.")
