entry: pause after answers that are older than what is known

Cause: the pause after a query that fails grows with the failures, and an answer that is left out counted as a success.

Change: an answer that is older than one before counts as a failure, shows nothing of the entries' age and isn't passed on.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -218,6 +218,11 @@
 	defer c.setAbort(nil)
 	queriedAt := c.elapsed()
 	l, err := watch(ctx, kind, after)
+	if err == nil && l.Version < after {
+		c.recordOld()
+
+		return l, nil
+	}
 	if err == nil {
 		c.recordQuery(after, l, queriedAt)
 
@@ -233,6 +238,13 @@
 	return l, err
 }
 
+// recordOld records an answer that is older than one before, which shows nothing.
+func (c *sharedChanges) recordOld() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed.recordOld()
+}
+
 // sleep waits after a failed query: for d if only the store has what is missing, else
 // for the pause of the instances together, or until no query is due any more because of
 // what another instance has sent.
@@ -351,15 +363,17 @@
 func (c *sharedChanges) recordList(l wire.ObjectList, err error, queriedAt time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err == nil && l.Version < c.upTo {
+		c.failed.recordOld()
+
+		return
+	}
 	c.failed.recordList(err)
 	if err != nil {
 		return
 	}
 	first := c.queriedAt == _neverChecked
 	c.queriedAt = queriedAt
-	if l.Version < c.upTo {
-		return
-	}
 	// What the store has lost is not a change from what others know, which may be more
 	// than what this instance knew: they have to list the objects themselves.
 	anew := first || objectstore.Epoch(l.Version) > objectstore.Epoch(c.upTo)
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/objectstore"
 	"papayastair.dev/papayastair/wire"
 )
@@ -836,3 +837,43 @@
 		synctest.Wait()
 	}
 }
+
+// TestOldAnswers guards against a store that is asked without a pause for as long as its
+// answers are older than what is known, and against entries that such an answer confirms.
+func TestOldAnswers(t *testing.T) {
+	const (
+		known   = 100
+		minute  = time.Minute
+		maxAsks = 60
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), minute)
+		defer cancel()
+		start := time.Now()
+		asks := 0
+		c := newSharedChanges(testConfig(testDrain))
+		c.elapsed = func() time.Duration { return time.Since(start) }
+		objectstore.Follow(ctx, objectstore.FollowConfig{
+			Store: c.wrap(objectstore.Store{
+				List: func(context.Context, string) (wire.ObjectList, error) {
+					return wire.ObjectList{Version: known}, nil
+				},
+				Watch: func(context.Context, string, int) (wire.ObjectList, error) {
+					asks++
+
+					return wire.ObjectList{Version: known - 1}, nil
+				},
+			}, func() time.Duration { return maxAge(testDrain, 0, 0) }),
+			Kind:    "servers",
+			Changed: func(wire.Object) {},
+			Sleep:   c.sleep,
+			Log:     &event.Log{},
+		})
+		if asks > maxAsks {
+			t.Errorf("the store was asked %d times in %s, want %d at most", asks, minute, maxAsks)
+		}
+		if age := c.age(); age < minute-time.Second {
+			t.Errorf("the entries' age is %s after %s of old answers", age, minute)
+		}
+	})
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -144,6 +144,8 @@
 	// watchFirst is the Watch until there is a configuration.
 	watchFirst func(ctx context.Context, kind string, after int) (wire.ObjectList, error)
 	failed     failedQueries
+	// latest is the version of the newest answer.
+	latest int
 	// queriedAt is the time of the last query whose answer shows what was in force then.
 	queriedAt time.Duration
 	// announced is the last version that was looked for in an answer that may be old, and
@@ -221,11 +223,28 @@
 func (r *configurationReader) list(ctx context.Context, kind string) (wire.ObjectList, error) {
 	r.startQuery()
 	l, err := r.store.List(ctx, kind)
-	r.failed.recordList(err)
+	if !r.isOld(l, err) {
+		r.failed.recordList(err)
+	}
 
 	return l, err
 }
 
+// isOld reports whether an answer is older than one before, and counts it as a failure.
+func (r *configurationReader) isOld(l wire.ObjectList, err error) bool {
+	if err != nil {
+		return false
+	}
+	if l.Version < r.latest {
+		r.failed.recordOld()
+
+		return true
+	}
+	r.latest = l.Version
+
+	return false
+}
+
 func (r *configurationReader) watch(ctx context.Context, kind string, after int) (wire.ObjectList, error) {
 	e := r.entry
 	if e.untilConfigurationQuery() > 0 {
@@ -243,7 +262,9 @@
 	}
 	r.startQuery()
 	l, err := query(ctx, kind, after)
-	r.failed.recordWatch(err)
+	if !r.isOld(l, err) {
+		r.failed.recordWatch(err)
+	}
 
 	return l, err
 }
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -70,6 +70,11 @@
 	f.mustList = true
 }
 
+// recordOld records an answer that is older than one before, and of no use.
+func (f *failedQueries) recordOld() {
+	f.count++
+}
+
 // recordWatch records the result of a watch.
 func (f *failedQueries) recordWatch(err error) {
 	if err == nil {
