review: case 1, two machines order one worker (ONE)

Cause: an entry without its zone is taken for one that names a worker, and moves that worker to the shard of another lease without its turn.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -9,6 +9,7 @@
 const (
 	_streamService = "drafting"
 	_plainService  = "filing"
+	_adapters      = 30
 	_settleTime    = 4 * time.Second
 	_maxBodyBytes  = 4194304
 )
@@ -70,7 +71,7 @@
 						"load_s":     5,
 						"warm_s":     0.6,
 						"disk_s":     1,
-						"adapters":   0,
+						"adapters":   _adapters,
 						"lora_mb":    12,
 					}},
 				},
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,7 +30,9 @@
 	id     string
 	path   string
 	prefix string
-	body   []byte
+	// model is the model or adapter that is asked for; empty for the model.
+	model string
+	body  []byte
 	// upload is the time that the client's link takes for the body.
 	upload   time.Duration
 	deadline time.Duration
@@ -160,7 +163,7 @@
 	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\nContent-Length: %d\r\n",
 		r.path, _host, _headerID, r.id, r.deadline.Milliseconds(), _key, len(r.body))
 	if r.prefix != "" {
-		fmt.Fprintf(&head, "%s: %s\r\n%s: %s\r\nX-Token-Count: 543,47\r\n", _headerPrefix, r.prefix, _headerModel, _model)
+		fmt.Fprintf(&head, "%s: %s\r\n%s: %s\r\nX-Token-Count: 543,47\r\n", _headerPrefix, r.prefix, _headerModel, cmp.Or(r.model, _model))
 	}
 	head.WriteString("\r\n")
 	if err := r.write(nc, head.Bytes()); err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,6 +20,7 @@
 
 const (
 	_zone          = "zone-a"
+	_otherZone     = "zone-b"
 	_entryProgram  = "target/papayastair-entry"
 	_restartDelay  = 300 * time.Millisecond
 	_readyTimeout  = 15 * time.Second
@@ -54,7 +55,8 @@
 heartbeat_ms = 1200
 contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","tenants","quota","platform"]
 [zones]
-%s = "region-a"
+zone-a = "region-a"
+zone-b = "region-a"
 [listen]
 front = %q
 ready = %q
@@ -156,7 +158,7 @@
 		return nil, err
 	}
 	for i := range n {
-		e, err := f.newEntry(fmt.Sprintf("edge-a-%d", i+1))
+		e, err := f.newEntry(fmt.Sprintf("edge-a-%d", i+1), []string{_zone, _otherZone}[i%2])
 		if err != nil {
 			return f, err
 		}
@@ -231,7 +233,7 @@
 	return ports, nil
 }
 
-func (f *fleet) newEntry(name string) (*entryProcess, error) {
+func (f *fleet) newEntry(name, zone string) (*entryProcess, error) {
 	const listens = 4
 	ip, err := freeIP()
 	if err != nil {
@@ -250,7 +252,7 @@
 		directory: at(2),
 		settings:  filepath.Join(f.folder, name+".toml"),
 	}
-	text := fmt.Sprintf(_settings, name, ip, _zone, ports[listens], ports[listens+1], _zone, e.front, e.ready, at(3), e.directory,
+	text := fmt.Sprintf(_settings, name, ip, zone, ports[listens], ports[listens+1], e.front, e.ready, at(3), e.directory,
 		_ramMB, _contact.Milliseconds(), int(_grace.Seconds()), f.platform.address)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -383,17 +385,9 @@
 
 // startWorkers starts n worker processes and waits until they listen.
 func (f *fleet) startWorkers(n int, cfg workerConfig, back time.Duration) error {
-	cfg.store = f.platform.address
-	cfg.address = "127.0.0.1:0"
 	for i := range n {
 		cfg.id = "w" + string(rune('a'+i))
-		w := &workerProcess{
-			fleet: f,
-			cfg:   cfg,
-			back:  back,
-		}
-		f.workers = append(f.workers, w)
-		if err := w.start(); err != nil {
+		if err := f.startWorker(cfg, back); err != nil {
 			return err
 		}
 	}
@@ -401,6 +395,23 @@
 	return nil
 }
 
+// startWorker starts a worker process and waits until it listens.
+func (f *fleet) startWorker(cfg workerConfig, back time.Duration) error {
+	cfg.store = f.platform.address
+	cfg.address = "127.0.0.1:0"
+	if cfg.zone == "" {
+		cfg.zone = _zone
+	}
+	w := &workerProcess{
+		fleet: f,
+		cfg:   cfg,
+		back:  back,
+	}
+	f.workers = append(f.workers, w)
+
+	return w.start()
+}
+
 // prepare starts workers, waits until the entry processes are ready and gives them time to
 // find each other and the workers.
 func (f *fleet) prepare(n int, cfg workerConfig, back time.Duration) (*clients, error) {
@@ -486,11 +497,12 @@
 
 // observe records what a worker has seen.
 func (f *fleet) observe(worker string, e workerEvent) {
+	e.Worker = worker
 	f.mu.Lock()
 	f.events = append(f.events, e)
 	f.mu.Unlock()
 	if e.Kind != "Listening" {
-		f.record.writeAt(e.At, "worker %s %s request %s prefix %s bytes %d", worker, strings.ToLower(e.Kind), e.ID, e.Prefix, e.Bytes)
+		f.record.writeAt(e.At, "worker %s %s %s prefix %s bytes %d holder %s fence %d", worker, strings.ToLower(e.Kind), e.ID, e.Prefix, e.Bytes, e.Holder, e.Fence)
 	}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,10 +16,11 @@
 // checks are the cases by name. Each reports whether its rule was broken. With trouble unset it
 // does the same without the disruption.
 var checks = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"tainted-unframed": taintedUnframed,
-	"cut-before-first": cutBeforeFirst,
-	"probes-in-turn":   probesInTurn,
-	"large-bodies":     largeBodies,
+	"tainted-unframed":   taintedUnframed,
+	"cut-before-first":   cutBeforeFirst,
+	"probes-in-turn":     probesInTurn,
+	"large-bodies":       largeBodies,
+	"entry-without-zone": entryWithoutZone,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -8,9 +8,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +46,7 @@
 	unframed bool
 	// deadly is the part of a prompt that crashes the worker.
 	deadly string
+	zone   string
 }
 
 // args are the flags for a worker with this configuration.
@@ -52,21 +55,27 @@
 		"worker", "-id", c.id, "-store", c.store, "-service", c.service, "-address", c.address,
 		"-events", strconv.Itoa(c.events), "-first", c.first.String(), "-gap", c.gap.String(),
 		"-unframed=" + strconv.FormatBool(c.unframed), "-deadly", c.deadly,
+		"-zone", c.zone,
 	}
 }
 
 // workerEvent is a line that a worker writes to its standard output.
 type workerEvent struct {
-	// Kind is Listening, Head, Began, Ended, Broken or Crashed. Head is the time at which
+	// Kind is Listening, Ordered, Arrived, Head, Began, Ended, Broken or Crashed. Head is the time at which
 	// the head of an answer has been sent, Began that of the first event or the body.
 	Kind    string
 	At      time.Time
+	Worker  string
 	Address string
 	ID      string
 	Prefix  string
 	Tenant  string
 	Path    string
 	Bytes   int
+	// Holder, Fence and Answer are set for an order.
+	Holder string
+	Fence  int
+	Answer int
 }
 
 // worker is one start of a worker process.
@@ -75,6 +84,10 @@
 	born int64
 	mu   sync.Mutex
 	out  *json.Encoder
+	// adapters are those that the worker holds of its model, and seq the number of orders that
+	// it has accepted.
+	adapters map[string]bool
+	seq      int
 }
 
 // runWorker serves until the worker is ended, and returns why it can't.
@@ -89,6 +102,7 @@
 	flags.DurationVar(&cfg.first, "first", 0, "the time to the first event")
 	flags.DurationVar(&cfg.gap, "gap", 0, "the time between two events")
 	flags.BoolVar(&cfg.unframed, "unframed", false, "answers end with their connection")
+	flags.StringVar(&cfg.zone, "zone", _zone, "the zone")
 	flags.StringVar(&cfg.deadly, "deadly", "", "the part that crashes the worker")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -101,6 +115,8 @@
 		cfg:  cfg,
 		born: time.Now().UnixMilli(),
 		out:  json.NewEncoder(os.Stdout),
+
+		adapters: map[string]bool{},
 	}
 	w.cfg.address = listener.Addr().String()
 	if err := w.register(); err != nil {
@@ -138,14 +154,14 @@
 	spec, err := json.Marshal(map[string]any{
 		"service":      w.cfg.service,
 		"addr":         w.cfg.address,
-		"zone":         _zone,
+		"zone":         w.cfg.zone,
 		"version":      "v1",
 		"slots":        _workerSlots,
 		"state":        "ready",
 		"cold_left_ms": 0,
 		"stage":        "both",
 		"models":       w.models(),
-		"seq":          0,
+		"seq":          w.accepted(),
 		"born":         w.born,
 	})
 	if err != nil {
@@ -194,14 +210,81 @@
 	if w.cfg.events == 0 {
 		return []map[string]any{}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 
 	return []map[string]any{{
 		"name":     _model,
 		"version":  1,
-		"adapters": []string{},
+		"adapters": slices.Sorted(maps.Keys(w.adapters)),
 	}}
 }
 
+func (w *worker) accepted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.seq
+}
+
+// holds reports whether the worker has a model or an adapter.
+func (w *worker) holds(target string) bool {
+	model, adapter, _ := strings.Cut(target, "/")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return model == _model && (adapter == "" || w.adapters[adapter])
+}
+
+// takeOrder carries out an order about an adapter and returns the status of the answer. The
+// model itself stays.
+func (w *worker) takeOrder(body []byte) int {
+	var o struct {
+		Op      string `json:"op"`
+		Model   string `json:"model"`
+		Adapter string `json:"adapter"`
+		Expect  *int   `json:"expect"`
+		Holder  string `json:"holder"`
+		Fence   int    `json:"fence"`
+	}
+	status := http.StatusBadRequest
+	if json.Unmarshal(body, &o) == nil && o.Holder != "" && o.Fence != 0 {
+		status = w.carryOut(o.Op == "load", o.Model, o.Adapter, o.Expect)
+	}
+	w.log(workerEvent{
+		Kind:   "Ordered",
+		ID:     o.Op + " " + o.Model + "/" + o.Adapter,
+		Holder: o.Holder,
+		Fence:  o.Fence,
+		Answer: status,
+	})
+
+	return status
+}
+
+func (w *worker) carryOut(load bool, model, adapter string, expect *int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case expect != nil && *expect != w.seq:
+		return http.StatusConflict
+	case model != _model || adapter == "":
+		return http.StatusBadRequest
+	case load && w.adapters[adapter]:
+		return http.StatusOK
+	case load:
+		w.seq++
+		w.adapters[adapter] = true
+
+		return http.StatusAccepted
+	default:
+		w.seq++
+		delete(w.adapters, adapter)
+
+		return http.StatusOK
+	}
+}
+
 func (w *worker) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
@@ -230,7 +313,7 @@
 			"born":     w.born,
 			"models":   w.models(),
 			"busy":     false,
-			"seq":      0,
+			"seq":      w.accepted(),
 			"queued":   0,
 			"running":  0,
 			"kv_used":  0,
@@ -238,10 +321,11 @@
 			"handles":  0,
 		})
 	case "/api/order":
-		// All models are there, and none is to be unloaded.
-		return writeAll(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		status := w.takeOrder(body)
+
+		return writeAll(c, "HTTP/1.1 %d Order\r\nContent-Length: 0\r\n\r\n", status)
 	}
-	if model := r.Header.Get(_headerModel); w.cfg.events > 0 && model != _model {
+	if w.cfg.events > 0 && !w.holds(r.Header.Get(_headerModel)) {
 		return writeAll(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", _headerID, id)
 	}
 	event := workerEvent{
