--- a/review/standin/probes_in_turn.go
+++ b/review/standin/probes_in_turn.go
@@ -84,6 +84,13 @@
 			late++
 		}
 	}
+	cut := 0
+	for _, o := range sound.all() {
+		if len(crashes) >= 5 && o.request.sentAt.After(crashes[4].Add(_contact)) && o.reply.status == 200 && !o.reply.complete {
+			cut++
+		}
+	}
+	r.say("%d sound streams that had begun were cut off meanwhile", cut)
 	r.say("%d crashes; %d requests with the part reached workers from machines in touch later than contact_ms after the fifth", len(crashes), late)
 
 	return late > allowed, nil
