review: the stand-ins are test code

Added: the files are _test.go files now; review/build.sh builds the package's test program, and TestMain runs a worker or a case only when asked to.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the deploy file's build and review/build.sh" >&2
 	exit 2
 fi
-exec target/review-standin -record review/5/record.txt probes-in-turn
+exec target/review-standin case -record review/5/record.txt probes-in-turn
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # built by its own line.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/standin
+go test -c -o target/review-standin ./review/standin
--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,9 +1,10 @@
-package main
+package standin
 
 import (
 	"flag"
 	"fmt"
 	"os"
+	"testing"
 )
 
 // Exit statuses of a case.
@@ -23,12 +24,18 @@
 	"entry-without-zone": entryWithoutZone,
 }
 
-func main() {
-	if len(os.Args) > 1 && os.Args[1] == "worker" {
+// TestMain runs a worker or a case if the first argument says so. The default test run has no
+// such argument, and no tests.
+func TestMain(m *testing.M) {
+	switch {
+	case len(os.Args) > 1 && os.Args[1] == "worker":
 		fmt.Fprintln(os.Stderr, runWorker(os.Args[2:]))
 		os.Exit(_exitNotRun)
+	case len(os.Args) > 1 && os.Args[1] == "case":
+		os.Exit(runCase(os.Args[2:]))
+	default:
+		os.Exit(m.Run())
 	}
-	os.Exit(runCase(os.Args[1:]))
 }
 
 // runCase runs the case that the arguments name.
@@ -36,7 +43,7 @@
 	flags := flag.NewFlagSet("case", flag.ContinueOnError)
 	path := flags.String("record", "record.txt", "the file for the record")
 	if err := flags.Parse(args); err != nil || checks[flags.Arg(0)] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin -record FILE NAME")
+		fmt.Fprintln(os.Stderr, "usage: review-standin case -record FILE NAME")
 
 		return _exitNotRun
 	}
