--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -141,7 +141,7 @@
 		return request{
 			path:     "/draft/a",
 			prefix:   fmt.Sprintf("%s:103,91bd3f06:68,%x%06x:372", first, len(first), n),
-			body:     []byte("a prompt"),
+			body:     fmt.Appendf(nil, "prompt %s %d", first, n),
 			deadline: 12 * time.Second,
 		}
 	}
