--- a/review/standin/fleet_test.go
+++ b/review/standin/fleet_test.go
@@ -381,6 +381,8 @@
 	cmd   *exec.Cmd
 	id    string
 	ended bool
+	// exited is closed when the process has been waited for.
+	exited chan struct{}
 }
 
 // startWorkers starts n worker processes and waits until they listen.
@@ -450,6 +452,8 @@
 	}
 	w.cmd = cmd
 	w.id = cfg.id
+	exited := make(chan struct{})
+	w.exited = exited
 	listening := make(chan struct{})
 	go func() {
 		lines := bufio.NewScanner(out)
@@ -464,6 +468,7 @@
 			w.fleet.observe(cfg.id, e)
 		}
 		_ = cmd.Wait()
+		close(exited)
 		w.fleet.record.write("worker %s ended", cfg.id)
 		if w.back > 0 {
 			time.Sleep(w.back)
@@ -487,12 +492,16 @@
 	}
 }
 
-// end kills the process for good.
+// end kills the process for good and waits for its end.
 func (w *workerProcess) end() {
 	w.mu.Lock()
 	w.ended = true
+	exited := w.exited
 	w.mu.Unlock()
 	w.kill()
+	if exited != nil {
+		<-exited
+	}
 }
 
 // observe records what a worker has seen.
