connection, platform: send reads again when connections to the store go silent

Cause: the store's client kept idle connections for 20 s and gave one without an answer all of a call's time-out, 2 s. An instance that doesn't read for others uses its connection once for each change; if it has gone silent since, the list of an announced version takes 2 s, and the watch after it, of another client with idle connections of its own, as long again.

Five instances apply the version at 11.26 s, 0.2 s after the acknowledgement; three log "list config/: Unknown: fasthttp: timeout" at 13.26 s and apply it then.

A read without a byte of an answer after an eighth of the smallest bound (250 ms at most) is sent once more on a new connection; writes are never sent twice.

--- a/cmd/papayastair-entry/main.go
+++ b/cmd/papayastair-entry/main.go
@@ -54,6 +54,8 @@
 	defer log.Close()
 	registry := metrics.NewRegistry()
 	client := platform.NewClient(settings.StoreAddress, registry)
+	client.Patience = settings.Bounds.ReadPatience()
+	client.Log = log
 	orders := platform.NewOrders()
 	e, err := entry.New(entry.Config{
 		Settings: settings,
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -430,7 +430,7 @@
 // maxKeyEvidenceAge returns the maximum age of the evidence for requests with
 // keys.
 func (e *Entry) maxKeyEvidenceAge() time.Duration {
-	return e.cfg.Settings.Bounds.Revoke - _revocationMargin
+	return e.cfg.Settings.Bounds.keyEvidence()
 }
 
 // isCurrent reports whether a route or key that is missing from the
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestAgesFitBounds guards against changes of the store that are known too late, or
@@ -63,3 +65,57 @@
 		})
 	}
 }
+
+// TestReadPatience guards against a bound that is spent waiting on a silent connection to
+// the store, on deployments with other bounds.
+func TestReadPatience(t *testing.T) {
+	tests := []struct {
+		name   string
+		bounds Bounds
+		want   time.Duration
+	}{
+		{
+			name: "apply",
+			bounds: Bounds{
+				Apply:  800 * time.Millisecond,
+				Drain:  2 * time.Second,
+				Revoke: 5 * time.Second,
+			},
+			want: 100 * time.Millisecond,
+		},
+		{
+			name: "drain",
+			bounds: Bounds{
+				Apply:  8 * time.Second,
+				Drain:  time.Second,
+				Revoke: 5 * time.Second,
+			},
+			want: 125 * time.Millisecond,
+		},
+		{
+			name: "revoke",
+			bounds: Bounds{
+				Apply:  2 * time.Second,
+				Drain:  2 * time.Second,
+				Revoke: _revocationMargin + time.Second,
+			},
+			want: 125 * time.Millisecond,
+		},
+		{
+			name: "long bounds",
+			bounds: Bounds{
+				Apply:  8 * time.Second,
+				Drain:  8 * time.Second,
+				Revoke: 20 * time.Second,
+			},
+			want: _maxPatience,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, tt.bounds.ReadPatience()); diff != "" {
+				t.Errorf("patience (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	// _patienceShare is the share of a bound after which a read of the store without an
+	// answer is sent again, and _maxPatience the longest time before that.
+	_patienceShare = 1.0 / 8
+	_maxPatience   = 250 * time.Millisecond
+)
+
 // Settings are the settings of one process, as the platform supplies them.
 type Settings struct {
 	// Name is the instance's name; FailureDomain and Region are where it runs.
@@ -65,3 +72,15 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 }
+
+// ReadPatience returns the time without an answer after which a read of the store is sent
+// again, so that a change is known within each bound although connections to the store
+// have gone silent.
+func (b Bounds) ReadPatience() time.Duration {
+	return min(_maxPatience, shareOf(min(b.Apply, b.Drain, b.keyEvidence()), _patienceShare))
+}
+
+// keyEvidence returns the maximum age of the evidence for requests with keys.
+func (b Bounds) keyEvidence() time.Duration {
+	return b.Revoke - _revocationMargin
+}
