quarantine, entry: count probes of held traits in the store before they are sent

Cause: the time of the next probe moved on at its sender only. Who sends was decided by each instance from its own view of the members; neither bulletins nor the record in the store said that a probe had been sent.

Ruled out: an announcement in bulletins alone, which leaves the time until it has arrived, and a cut.

Change: a probe is counted in the record of the held traits, by a write conditional on its version, before it is sent. The instance whose write succeeds may send one request. Bulletins and the record carry the number of probes and the age of the last; the highest number wins. A hold has three probes: 20, 60 and 140 s after its first crash.

Why it works: the store lets each version of the record be replaced once, so a count can be given to one instance only, whatever the instances know of each other, and a restart reads it.

TestProbe checks the third probe and the end of probes too, and that none is sent that was not counted. The simulation's store counts as the record does.

--- a/entry/bulletin.go
+++ b/entry/bulletin.go
@@ -245,9 +245,12 @@
 	return notBefore - time.Duration(sentMS-changes.CheckedMS)*time.Millisecond
 }
 
-// probesTrait reports whether this instance is the one of the live instances that
-// sends probes for a trait.
+// probesTrait reports whether this instance is the one of the live instances that should
+// send the next probe for a trait, as far as it knows them.
 func (e *Entry) probesTrait(trait int) bool {
+	if e.leaving.Load() {
+		return false
+	}
 	names := []string{e.cfg.Settings.Name}
 	for _, i := range e.hub.Instances() {
 		if i.Alive && !i.Leaving {
--- a/entry/held.go
+++ b/entry/held.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +32,9 @@
 
 // heldRecord is the store's object with the held traits, as this instance knows it.
 type heldRecord struct {
-	mu      sync.Mutex
-	traits  map[int]bool
+	mu sync.Mutex
+	// traits holds the numbers of probes by trait.
+	traits  map[int]int
 	version int
 	// differsSince is the time, by timer.Elapsed, since when other traits are held
 	// than the store has; 0 if the same are.
@@ -42,40 +44,68 @@
 }
 
 // observe records the object, of which held is the value.
-func (r *heldRecord) observe(held []wire.TraitFinding, version int) {
+func (r *heldRecord) observe(held []wire.HeldTrait, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version = version
-	r.traits = make(map[int]bool, len(held))
+	r.traits = make(map[int]int, len(held))
 	for _, h := range held {
-		r.traits[h.Trait] = true
+		r.traits[h.Trait] = h.Probes
 	}
 }
 
-// due reports whether this instance must change the store to have the held traits, as
-// rank others should rather do it, and returns the object's version.
-func (r *heldRecord) due(held []wire.TraitFinding, rank func() int, now time.Duration) (version int, due bool) {
+// heldWrite is a write of the object that replaces its version. probes are the probes that
+// it counts, by trait.
+type heldWrite struct {
+	held    []wire.HeldTrait
+	version int
+	probes  map[int]int
+}
+
+// next returns the write that this instance must make, if it must: one that counts the wanted
+// probes, or one of the traits that are held here, as rank others should rather do it. A
+// probe that the object shows to be counted already is left out.
+func (r *heldRecord) next(held []wire.HeldTrait, wanted []int, rank func() int, now time.Duration) (write heldWrite, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	write = heldWrite{
+		version: r.version,
+		probes:  map[int]int{},
+	}
 	same := len(held) == len(r.traits)
 	for _, h := range held {
-		same = same && r.traits[h.Trait]
+		kept, ok := r.traits[h.Trait]
+		same = same && ok && kept >= h.Probes
+		switch {
+		case kept > h.Probes:
+			// The time of that probe is on its way.
+			h.Probes = kept
+			h.ProbedMS = 0
+		case slices.Contains(wanted, h.Trait):
+			h.Probes++
+			h.ProbedMS = 0
+			write.probes[h.Trait] = h.Probes
+		}
+		write.held = append(write.held, h)
+	}
+	if len(write.probes) > 0 {
+		return write, true
 	}
 	if same {
 		r.differsSince = 0
 
-		return r.version, false
+		return write, false
 	}
 	if r.differsSince == 0 {
 		r.differsSince = now
 	}
 
-	return r.version, now-r.differsSince >= time.Duration(rank())*_heldWriterPause
+	return write, now-r.differsSince >= time.Duration(rank())*_heldWriterPause
 }
 
 // observeHeld records the store's object with the held traits. When it is first read,
-// its traits are held here too: the instances that found them may have ended. What it
-// says later is known from their bulletins, with its true age.
+// its traits are held here too: the instances that found them may have ended. Which are
+// held later is known from their bulletins, with the true ages.
 func (e *Entry) observeHeld(object wire.Object, first bool) {
 	var v wire.HeldTraits
 	if object.Value != "" {
@@ -90,10 +120,14 @@
 	if first && len(v.Held) > 0 {
 		e.cfg.Log.Write(event.HeldTraitsRestored, zap.Int("Traits", len(v.Held)), zap.Int("Revision", object.Version))
 		e.quarantine.Receive(wire.CrashFindings{Held: v.Held})
+
+		return
 	}
+	e.quarantine.ReceiveProbes(v.Held)
 }
 
-// signalHeld makes maintain compare the held traits with the store's.
+// signalHeld makes maintain compare the held traits with the store's, and count the wanted
+// probes there.
 func (e *Entry) signalHeld() {
 	select {
 	case e.heldChanged <- struct{}{}:
@@ -102,7 +136,8 @@
 }
 
 // syncHeld writes the held traits to the store if it has others, so that they outlast
-// the instances. If several instances write, the store refuses all but the first.
+// the instances, and counts the wanted probes. If several instances write, the store
+// refuses all but the first, so that each probe is sent by one instance at most.
 func (e *Entry) syncHeld() {
 	defer e.cfg.Log.Recover("HeldTraits")
 	e.records.mu.Lock()
@@ -111,12 +146,11 @@
 	if !listed {
 		return
 	}
-	held := e.quarantine.HeldFindings()
-	version, due := e.held.due(held, e.heldRank, timer.Elapsed())
+	write, due := e.held.next(e.quarantine.HeldFindings(), e.quarantine.WantedProbes(), e.heldRank, timer.Elapsed())
 	if !due {
 		return
 	}
-	value, err := json.Marshal(wire.HeldTraits{Held: held})
+	value, err := json.Marshal(wire.HeldTraits{Held: write.held})
 	if err != nil {
 		e.cfg.Log.Write(event.HeldTraitsFailed, zap.Error(err))
 
@@ -125,14 +159,17 @@
 	ctx, cancel := context.WithTimeout(e.ctx, _recordTimeout)
 	defer cancel()
 	store := e.cfg.Store("Records", 0)
-	version, err = store.Put(ctx, _recordKind, _heldName, string(value), version)
+	version, err := store.Put(ctx, _recordKind, _heldName, string(value), write.version)
 	if err == nil {
-		e.held.observe(held, version)
-		e.cfg.Log.Write(event.HeldTraitsKept, zap.Int("Traits", len(held)), zap.Int("Revision", version))
+		e.held.observe(write.held, version)
+		e.cfg.Log.Write(event.HeldTraitsKept, zap.Int("Traits", len(write.held)), zap.Int("Revision", version))
+		for trait, probes := range write.probes {
+			e.quarantine.GrantProbe(trait, probes)
+		}
 
 		return
 	}
-	e.cfg.Log.Write(event.HeldTraitsFailed, zap.Int("Traits", len(held)), zap.Error(err))
+	e.cfg.Log.Write(event.HeldTraitsFailed, zap.Int("Traits", len(write.held)), zap.Error(err))
 	if objectstore.CodeOf(err) != objectstore.CodeConflict {
 		return
 	}
--- a/event/entry.go
+++ b/event/entry.go
@@ -46,9 +46,10 @@
 	StewardLacking  = declare(6207, "StewardLacking", zapcore.InfoLevel, "A model needs another copy and none can be loaded now; at most once per second for each shard.")
 	StewardNoRoom   = declare(6206, "StewardNoRoom", zapcore.InfoLevel, "A target that requests wait for can't be loaded now; with the reason.")
 
-	TraitHeld    = declare(6300, "TraitHeld", zapcore.WarnLevel, "What requests on crashed backend servers have in common was found, here or, with 0 crashes, by another instance; requests with it are refused.")
-	TraitCleared = declare(6301, "TraitCleared", zapcore.InfoLevel, "Requests with a held trait are sent again: one was answered whole, or the time is over.")
-	TraitProbed  = declare(6302, "TraitProbed", zapcore.InfoLevel, "One request with a held trait is sent, to see whether it still crashes its backend server.")
+	TraitHeld         = declare(6300, "TraitHeld", zapcore.WarnLevel, "What requests on crashed backend servers have in common was found, here or, with 0 crashes, by another instance; requests with it are refused.")
+	TraitCleared      = declare(6301, "TraitCleared", zapcore.InfoLevel, "Requests with a held trait are sent again: one was answered whole, or the time is over.")
+	TraitProbed       = declare(6302, "TraitProbed", zapcore.InfoLevel, "One request with a held trait is sent, to see whether it still crashes its backend server.")
+	TraitProbeCounted = declare(6306, "TraitProbeCounted", zapcore.InfoLevel, "The next probe of a held trait was counted in the store; this instance may send it.")
 
 	HeldTraitsKept     = declare(6303, "HeldTraitsKept", zapcore.InfoLevel, "The held traits were written to the store, so that they outlast the instances.")
 	HeldTraitsRestored = declare(6304, "HeldTraitsRestored", zapcore.InfoLevel, "Traits that were held by instances before were read from the store at the start.")
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -172,10 +172,10 @@
 	own := sim.composer(i, m)
 	if m.v.forwardsChanges(sim.now) {
 		own.ServerChanges.UpTo = max(m.upTo, 1)
-		own.Findings.Held = append(own.Findings.Held, wire.TraitFinding{Trait: m.heard})
+		own.Findings.Held = append(own.Findings.Held, wire.HeldTrait{Trait: m.heard})
 	}
 	if m.found != 0 {
-		own.Findings.Held = append(own.Findings.Held, wire.TraitFinding{Trait: m.found})
+		own.Findings.Held = append(own.Findings.Held, wire.HeldTrait{Trait: m.found})
 	}
 	trig := m.pending
 	if trig.period {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -7,7 +7,8 @@
 // trait that has been accused by several crashes, about as often as any other and
 // without a whole answer since the first of them, is held: requests that have it are
 // not sent any more. Now and then one such request is sent as a probe, by one of the
-// instances, so that a trait that was held wrongly is cleared. Of several such traits
+// instances, so that a trait that was held wrongly is cleared. A probe is counted where
+// all instances see it before it is sent, see WantedProbes. Of several such traits
 // the most specific one is held, because that affects the fewest requests. The same
 // crashes are no reason to hold another trait then, as these are explained.
 //
@@ -62,8 +63,9 @@
 	// _holdDuration is how long a trait is held, and how long an accusation is kept.
 	_holdDuration = 10 * time.Minute
 	// _probeInterval is the time from the first crash to the first probe. It doubles with
-	// each probe.
+	// each probe. _maxProbes bounds the probes of a hold.
 	_probeInterval = 20 * time.Second
+	_maxProbes     = 3
 	// _reportDuration is how long a finding is included in bulletins.
 	_reportDuration = time.Second
 	// _clearedRetention is how long a crash that accuses nothing any more is kept.
@@ -83,11 +85,13 @@
 type Config struct {
 	// Elapsed is timer.Elapsed.
 	Elapsed func() time.Duration
-	// Probes reports whether this instance sends the probes for a trait.
+	// Probes reports whether this instance should send the next probe for a trait. It may
+	// be true at several instances.
 	Probes func(trait int) bool
 	// Spread returns the time that findings need to reach all instances.
 	Spread func() time.Duration
-	// Changed is called after the set of held traits has changed.
+	// Changed is called after the set of held traits has changed, and when a probe is
+	// wanted.
 	Changed func()
 	// Log receives the events.
 	Log *event.Log
@@ -137,28 +141,28 @@
 	reportedAt time.Duration
 }
 
-// hold is a held trait. since is the time of the first crash, probeAt that of the next
-// probe, and interval the time to the one after it.
+// hold is a held trait. since is the time of the first crash, probes the number of probes
+// that all instances have counted, and probedAt the time at which the last one was.
 type hold struct {
 	since    time.Duration
-	probeAt  time.Duration
-	interval time.Duration
-}
-
-// newHold returns a hold of a trait. Probes that were due before, at another instance
-// or an earlier start, are left out.
-func newHold(since, now time.Duration) hold {
-	h := hold{
-		since:    since,
-		probeAt:  since + _probeInterval,
-		interval: _probeInterval,
-	}
-	for h.probeAt <= now {
-		h.interval *= 2
-		h.probeAt += h.interval
+	probes   int
+	probedAt time.Duration
+	// wanted is set once a request could be sent as the next probe, and granted while
+	// this instance may send the last one that was counted.
+	wanted  bool
+	granted bool
+}
+
+// probeDue reports whether the next probe may be counted.
+func (h hold) probeDue(now time.Duration) bool {
+	switch h.probes {
+	case 0:
+		return now >= h.since+_probeInterval
+	case _maxProbes:
+		return false
+	default:
+		return now >= h.probedAt+_probeInterval<<h.probes
 	}
-
-	return h
 }
 
 // New returns a Quarantine that holds nothing.
@@ -175,31 +179,123 @@
 // although it has a held trait is a probe.
 func (q *Quarantine) Find(traits []int) (trait int, left time.Duration) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	if len(q.held) == 0 {
 		return 0, 0
 	}
 	now := q.cfg.Elapsed()
+	granted := 0
 	for _, t := range traits {
-		if h, ok := q.held[t]; ok && now-h.since < _holdDuration && !q.probe(t, h, now) {
-			return t, h.since + _holdDuration - now
+		h, ok := q.held[t]
+		switch {
+		case !ok || now-h.since >= _holdDuration:
+		case h.granted:
+			granted++
+		default:
+			if left == 0 {
+				trait, left = t, h.since+_holdDuration-now
+			}
+			q.wantProbe(t, h, now)
 		}
 	}
+	if left == 0 && granted > 0 {
+		q.probe(traits, now)
+	}
 
-	return 0, 0
+	return trait, left
 }
 
-// probe reports whether a request with a held trait is sent as a probe.
-func (q *Quarantine) probe(trait int, h hold, now time.Duration) bool {
-	if now < h.probeAt || !q.cfg.Probes(trait) {
-		return false
+// wantProbe notes that a request could be sent as a probe, if one is due.
+func (q *Quarantine) wantProbe(trait int, h hold, now time.Duration) {
+	if h.wanted || !h.probeDue(now) || !q.cfg.Probes(trait) {
+		return
 	}
-	h.interval *= 2
-	h.probeAt = now + h.interval
+	h.wanted = true
 	q.held[trait] = h
-	q.cfg.Log.Write(event.TraitProbed, zap.Int("Trait", trait), zap.Duration("HeldFor", now-h.since), zap.Duration("Next", h.interval))
+	q.changed = true
+}
 
-	return true
+// probe uses up the probes of the held traits of a request that is sent as one.
+func (q *Quarantine) probe(traits []int, now time.Duration) {
+	for _, t := range traits {
+		h, ok := q.held[t]
+		if !ok || !h.granted {
+			continue
+		}
+		h.granted = false
+		q.held[t] = h
+		q.cfg.Log.Write(event.TraitProbed, zap.Int("Trait", t), zap.Int("Probe", h.probes), zap.Duration("HeldFor", now-h.since), zap.Duration("Counted", now-h.probedAt))
+	}
+}
+
+// WantedProbes returns the held traits for which this instance has a request that it could
+// send as the next probe. The probe must be counted where all instances see it, so that
+// no other instance counts it too; GrantProbe then lets it be sent.
+func (q *Quarantine) WantedProbes() []int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.cfg.Elapsed()
+	var out []int
+	for _, t := range slices.Sorted(maps.Keys(q.held)) {
+		h := q.held[t]
+		if !h.wanted {
+			continue
+		}
+		if h.wanted = h.probeDue(now) && q.cfg.Probes(t); h.wanted {
+			out = append(out, t)
+		}
+		q.held[t] = h
+	}
+
+	return out
+}
+
+// GrantProbe lets the next request with a held trait be sent as a probe. probes is the
+// number of probes that have been counted, this one included.
+func (q *Quarantine) GrantProbe(trait, probes int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	h, ok := q.held[trait]
+	if !ok || probes <= h.probes {
+		return
+	}
+	now := q.cfg.Elapsed()
+	h.probes = probes
+	h.probedAt = now
+	h.wanted = false
+	h.granted = true
+	q.held[trait] = h
+	q.cfg.Log.Write(event.TraitProbeCounted, zap.Int("Trait", trait), zap.Int("Probe", probes), zap.Duration("HeldFor", now-h.since))
+}
+
+// ReceiveProbes adds the probes counted for traits that are held here.
+func (q *Quarantine) ReceiveProbes(held []wire.HeldTrait) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.cfg.Elapsed()
+	for _, f := range held {
+		q.receiveProbes(f, now)
+	}
+}
+
+func (q *Quarantine) receiveProbes(f wire.HeldTrait, now time.Duration) {
+	h, ok := q.held[f.Trait]
+	probes := min(f.Probes, _maxProbes)
+	if !ok || probes <= 0 || probes < h.probes {
+		return
+	}
+	probedAt := now - age(f.ProbedMS)
+	if probes == h.probes {
+		// An age that was kept in the store seems lower than it is.
+		h.probedAt = min(h.probedAt, probedAt)
+	} else {
+		h = hold{
+			since:    h.since,
+			probes:   probes,
+			probedAt: probedAt,
+		}
+	}
+	q.held[f.Trait] = h
 }
 
 // Held returns the held traits in ascending order.
@@ -295,18 +391,27 @@
 	return out
 }
 
-// HeldFindings returns the held traits in ascending order, with their ages.
-func (q *Quarantine) HeldFindings() []wire.TraitFinding {
+// HeldFindings returns the held traits in ascending order, with their ages and probes.
+func (q *Quarantine) HeldFindings() []wire.HeldTrait {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	return q.findHeld(q.cfg.Elapsed())
 }
 
-func (q *Quarantine) findHeld(now time.Duration) []wire.TraitFinding {
-	out := make([]wire.TraitFinding, 0, len(q.held))
+func (q *Quarantine) findHeld(now time.Duration) []wire.HeldTrait {
+	out := make([]wire.HeldTrait, 0, len(q.held))
 	for _, t := range slices.Sorted(maps.Keys(q.held)) {
-		out = append(out, newFinding(t, q.held[t].since, now))
+		h := q.held[t]
+		f := wire.HeldTrait{
+			Trait:  t,
+			AgeMS:  int((now - h.since).Milliseconds()),
+			Probes: h.probes,
+		}
+		if h.probes > 0 {
+			f.ProbedMS = int((now - h.probedAt).Milliseconds())
+		}
+		out = append(out, f)
 	}
 
 	return out
@@ -344,6 +449,7 @@
 	}
 	for _, h := range f.Held {
 		q.hold(h.Trait, now-age(h.AgeMS), 0, now)
+		q.receiveProbes(h, now)
 	}
 	q.decide(now)
 }
@@ -570,7 +676,7 @@
 		if len(q.held) >= _maxHeld || now-since >= _holdDuration {
 			return false
 		}
-		q.held[trait] = newHold(since, now)
+		q.held[trait] = hold{since: since}
 		q.changed = true
 		q.cfg.Log.Write(event.TraitHeld, zap.Int("Trait", trait), zap.Int("Crashes", crashes), zap.Duration("Since", now-since))
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -43,8 +43,10 @@
 	mail      []simMail
 	nextSend  time.Duration
 	crashes   []time.Duration
-	// kept are the held traits as they were last written to the store.
-	kept []wire.TraitFinding
+	// kept are the held traits as they were last written to the store, and counted the
+	// probes counted there by trait.
+	kept    []wire.HeldTrait
+	counted map[int]int
 	// deadlySent are the times of the runs with _testDeadly. sound and refused count
 	// the other requests by workspace, and those of them that were held.
 	deadlySent     []time.Duration
@@ -115,6 +117,10 @@
 	stagger time.Duration
 	// restarts is the interval at which all instances end at once and start again.
 	restarts time.Duration
+	// rolls is the interval at which one instance after the other ends and starts again,
+	// and divided is set if each of them takes itself for the one that sends probes.
+	rolls   time.Duration
+	divided bool
 }
 
 func newSimulation(p simPlan) *simulation {
@@ -125,6 +131,7 @@
 		lag:     p.lag,
 		servers: make([]simServer, p.servers),
 
+		counted:     map[int]int{},
 		deadlyWhole: map[int]bool{},
 	}
 	sim.restart(p)
@@ -134,19 +141,49 @@
 
 // restart starts all instances, which know only what was kept.
 func (sim *simulation) restart(p simPlan) {
-	sim.instances, sim.runs, sim.mail = nil, nil, nil
+	sim.instances, sim.runs, sim.mail = make([]*Quarantine, p.instances), nil, nil
 	for i := range p.instances {
-		q := New(Config{
-			Elapsed: func() time.Duration { return sim.now },
-			Probes:  func(trait int) bool { return trait%p.instances == i },
-			Spread:  func() time.Duration { return _testBulletin + sim.lag },
-			Changed: func() { sim.kept = sim.instances[i].HeldFindings() },
-		})
-		sim.instances = append(sim.instances, q)
+		sim.start(p, i)
 	}
-	for _, q := range sim.instances {
-		q.Receive(wire.CrashFindings{Held: sim.kept})
+}
+
+// start starts an instance, which knows only what was kept.
+func (sim *simulation) start(p simPlan, i int) {
+	sim.instances[i] = New(Config{
+		Elapsed: func() time.Duration { return sim.now },
+		Probes:  func(trait int) bool { return p.divided || trait%p.instances == i },
+		Spread:  func() time.Duration { return _testBulletin + sim.lag },
+		Changed: func() { sim.keep(i) },
+	})
+	sim.instances[i].Receive(wire.CrashFindings{Held: sim.kept})
+}
+
+// keep writes the held traits of an instance to the store, which counts each probe once.
+func (sim *simulation) keep(i int) {
+	q := sim.instances[i]
+	held, wanted := q.HeldFindings(), q.WantedProbes()
+	for j := range held {
+		h := &held[j]
+		switch {
+		case sim.counted[h.Trait] > h.Probes:
+			h.Probes = sim.counted[h.Trait]
+			h.ProbedMS = 0
+		case slices.Contains(wanted, h.Trait):
+			h.Probes++
+			h.ProbedMS = 0
+			q.GrantProbe(h.Trait, h.Probes)
+		}
+		sim.counted[h.Trait] = h.Probes
 	}
+	sim.kept = held
+	q.ReceiveProbes(held)
+}
+
+// roll ends an instance with its requests and starts it again.
+func (sim *simulation) roll(p simPlan, i int) {
+	sim.runs = slices.DeleteFunc(sim.runs, func(r simRun) bool { return r.instance == i })
+	sim.mail = slices.DeleteFunc(sim.mail, func(m simMail) bool { return m.to == i })
+	sim.start(p, i)
 }
 
 func (sim *simulation) name(server int) string {
@@ -174,7 +211,7 @@
 }
 
 func (sim *simulation) run(p simPlan, d time.Duration) {
-	lastLoss, lastRestart := sim.now, sim.now
+	lastLoss, lastRestart, lastRoll, rolled := sim.now, sim.now, sim.now, 0
 	for end := sim.now + d; sim.now < end; sim.now += _testStep {
 		if sim.rng.Float64() < p.perSecond*_testStep.Seconds() {
 			sim.arrive(p)
@@ -204,6 +241,11 @@
 			lastRestart = sim.now
 			sim.restart(p)
 		}
+		if p.rolls > 0 && sim.now-lastRoll >= p.rolls {
+			lastRoll = sim.now
+			sim.roll(p, rolled%p.instances)
+			rolled++
+		}
 		sim.advance()
 		sim.exchange()
 	}
@@ -716,7 +758,7 @@
 			give: func(q *Quarantine, now *time.Duration) {
 				q.Completed([]int{1})
 				*now += time.Second
-				q.Receive(wire.CrashFindings{Held: []wire.TraitFinding{{
+				q.Receive(wire.CrashFindings{Held: []wire.HeldTrait{{
 					Trait: 1,
 					AgeMS: 5000,
 				}}})
@@ -725,7 +767,7 @@
 		{
 			name: "held by another instance",
 			give: func(q *Quarantine, _ *time.Duration) {
-				q.Receive(wire.CrashFindings{Held: []wire.TraitFinding{{
+				q.Receive(wire.CrashFindings{Held: []wire.HeldTrait{{
 					Trait: 1,
 					AgeMS: 5000,
 				}}})
@@ -802,7 +844,7 @@
 		{
 			name: "an age beyond all bounds",
 			give: func(q *Quarantine, _ *time.Duration) {
-				q.Receive(wire.CrashFindings{Held: []wire.TraitFinding{{
+				q.Receive(wire.CrashFindings{Held: []wire.HeldTrait{{
 					Trait: 1,
 					AgeMS: math.MaxInt64 / 500_000,
 				}}})
@@ -867,17 +909,23 @@
 	}
 	var probes []time.Duration
 	start := *now
-	for *now-start < 4*_probeInterval {
+	for *now-start < _holdDuration-_probeInterval {
 		*now += time.Second
 		if _, left := q.Find([]int{_testProbed}); left == 0 {
-			probes = append(probes, (*now - start).Round(_probeInterval))
-			q.Crashed(fmt.Sprint("p", len(probes)), []int{_testProbed}, _testRan)
+			t.Errorf("a probe was sent after %s that was not counted", *now-start)
+		}
+		for _, trait := range q.WantedProbes() {
+			q.GrantProbe(trait, len(probes)+1)
 		}
 		if _, left := q.Find([]int{1, _testProbed}); left == 0 {
 			t.Errorf("a request with a trait that another instance probes was sent after %s", *now-start)
 		}
+		if _, left := q.Find([]int{_testProbed}); left == 0 {
+			probes = append(probes, (*now - start).Round(_probeInterval))
+			q.Crashed(fmt.Sprint("p", len(probes)), []int{_testProbed}, _testRan)
+		}
 	}
-	if diff := cmp.Diff([]time.Duration{_probeInterval, 3 * _probeInterval}, probes); diff != "" {
+	if diff := cmp.Diff([]time.Duration{_probeInterval, 3 * _probeInterval, 7 * _probeInterval}, probes); diff != "" {
 		t.Errorf("probes (-want +got):\n%s", diff)
 	}
 	q.Completed([]int{_testProbed})
@@ -885,3 +933,63 @@
 		t.Errorf("held after a whole answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestProbesOfFleet guards against a probe from each instance (BUDGET) where instances that
+// start again, or that don't know of the same others, each take themselves for the one that
+// sends probes.
+func TestProbesOfFleet(t *testing.T) {
+	plan := simPlan{
+		instances:  8,
+		servers:    12,
+		workspaces: 5,
+		perSecond:  70,
+		deadly:     0.05,
+	}
+	tests := []struct {
+		name     string
+		rolls    time.Duration
+		restarts time.Duration
+		loss     float64
+		divided  bool
+	}{
+		{
+			name: "undisturbed",
+		},
+		{
+			name:    "divided",
+			divided: true,
+		},
+		{
+			name:    "divided, lost datagrams",
+			divided: true,
+			loss:    0.5,
+		},
+		{
+			name:    "restarts in turn",
+			rolls:   time.Second,
+			divided: true,
+		},
+		{
+			name:     "restarts of all",
+			restarts: 9 * time.Second,
+			divided:  true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := plan
+			p.rolls, p.restarts, p.loss, p.divided = tt.rolls, tt.restarts, tt.loss, tt.divided
+			sim := newSimulation(p)
+			sim.run(p, 100*time.Second)
+			late := 0
+			for _, at := range sim.deadlySent {
+				if at > sim.crashes[4]+_testContact {
+					late++
+				}
+			}
+			if late > 3 {
+				t.Errorf("%d requests with the part were sent late, want 3 at most; %d servers crashed", late, len(sim.crashes))
+			}
+		})
+	}
+}
--- a/wire/bulletin.gen.go
+++ b/wire/bulletin.gen.go
@@ -104,8 +104,8 @@
 	// Crashes are recent crashes of backend servers.
 	Crashes []ServerCrash `json:"Crashes"`
 
-	// Held are traits of requests that are not sent, with the age of the first crash.
-	Held []TraitFinding `json:"Held"`
+	// Held are traits of requests that are not sent.
+	Held []HeldTrait `json:"Held"`
 }
 
 // EntryRecord is the object in the store by which instances find each other.
@@ -146,12 +146,26 @@
 	Start int `json:"Start"`
 }
 
+type HeldTrait struct {
+	// AgeMS is the time since the first crash.
+	AgeMS int `json:"AgeMS"`
+
+	// ProbedMS is the time since the last one was counted.
+	ProbedMS int `json:"ProbedMS"`
+
+	// Probes is the number of probes that all instances have counted.
+	Probes int `json:"Probes"`
+
+	// Trait identifies the trait.
+	Trait int `json:"Trait"`
+}
+
 // HeldTraits is the object in the store by which held traits outlast all
 // instances.
 type HeldTraits struct {
-	// Held are traits of requests that are not sent, with the age of the first crash
-	// when this was written.
-	Held []TraitFinding `json:"Held"`
+	// Held are traits of requests that are not sent, with the ages when this was
+	// written.
+	Held []HeldTrait `json:"Held"`
 }
 
 type ListedInstance struct {
--- a/wire/bulletin.msgp.gen.go
+++ b/wire/bulletin.msgp.gen.go
@@ -732,13 +732,11 @@
 	o = append(o, 0xa4, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Held)))
 	for za0003 := range z.Held {
-		// map header, size 2
-		// string "AgeMS"
-		o = append(o, 0x82, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Held[za0003].AgeMS)
-		// string "Trait"
-		o = append(o, 0xa5, 0x54, 0x72, 0x61, 0x69, 0x74)
-		o = msgp.AppendInt(o, z.Held[za0003].Trait)
+		o, err = z.Held[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Held", za0003)
+			return
+		}
 	}
 	return
 }
@@ -850,43 +848,14 @@
 			if cap(z.Held) >= int(zb0005) {
 				z.Held = (z.Held)[:zb0005]
 			} else {
-				z.Held = make([]TraitFinding, zb0005)
+				z.Held = make([]HeldTrait, zb0005)
 			}
 			for za0003 := range z.Held {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Held[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Held", za0003)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "AgeMS":
-						z.Held[za0003].AgeMS, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0003, "AgeMS")
-							return
-						}
-					case "Trait":
-						z.Held[za0003].Trait, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0003, "Trait")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0003)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -906,7 +875,10 @@
 	for za0002 := range z.Crashes {
 		s += z.Crashes[za0002].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Held) * (13 + msgp.IntSize + msgp.IntSize))
+	s += 5 + msgp.ArrayHeaderSize
+	for za0003 := range z.Held {
+		s += z.Held[za0003].Msgsize()
+	}
 	return
 }
 
@@ -1086,6 +1058,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HeldTrait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "AgeMS"
+	o = append(o, 0x84, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
+	o = msgp.AppendInt(o, z.AgeMS)
+	// string "ProbedMS"
+	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x62, 0x65, 0x64, 0x4d, 0x53)
+	o = msgp.AppendInt(o, z.ProbedMS)
+	// string "Probes"
+	o = append(o, 0xa6, 0x50, 0x72, 0x6f, 0x62, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Probes)
+	// string "Trait"
+	o = append(o, 0xa5, 0x54, 0x72, 0x61, 0x69, 0x74)
+	o = msgp.AppendInt(o, z.Trait)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeldTrait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "AgeMS":
+			z.AgeMS, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMS")
+				return
+			}
+		case "ProbedMS":
+			z.ProbedMS, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ProbedMS")
+				return
+			}
+		case "Probes":
+			z.Probes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+		case "Trait":
+			z.Trait, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Trait")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HeldTrait) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 9 + msgp.IntSize + 7 + msgp.IntSize + 6 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *HeldTraits) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1094,13 +1145,11 @@
 	o = append(o, 0x81, 0xa4, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Held)))
 	for za0001 := range z.Held {
-		// map header, size 2
-		// string "AgeMS"
-		o = append(o, 0x82, 0xa5, 0x41, 0x67, 0x65, 0x4d, 0x53)
-		o = msgp.AppendInt(o, z.Held[za0001].AgeMS)
-		// string "Trait"
-		o = append(o, 0xa5, 0x54, 0x72, 0x61, 0x69, 0x74)
-		o = msgp.AppendInt(o, z.Held[za0001].Trait)
+		o, err = z.Held[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Held", za0001)
+			return
+		}
 	}
 	return
 }
@@ -1137,43 +1186,14 @@
 			if cap(z.Held) >= int(zb0002) {
 				z.Held = (z.Held)[:zb0002]
 			} else {
-				z.Held = make([]TraitFinding, zb0002)
+				z.Held = make([]HeldTrait, zb0002)
 			}
 			for za0001 := range z.Held {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Held[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Held", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "AgeMS":
-						z.Held[za0001].AgeMS, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001, "AgeMS")
-							return
-						}
-					case "Trait":
-						z.Held[za0001].Trait, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001, "Trait")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1189,7 +1209,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeldTraits) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Held) * (13 + msgp.IntSize + msgp.IntSize))
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Held {
+		s += z.Held[za0001].Msgsize()
+	}
 	return
 }
 
