hop, entry: bound the memory of request bodies

Cause: each body was read whole without a common bound, into a buffer that doubled, and Conn.Send copied it again.

Change: the bodies being read or handled share 0.4 of the process's memory, but for 16 KB of each. A body with a length reserves it before it is read. One that finds no memory is refused as not run (503, Retry-After), and the rest of it is dropped. Large bodies are sent without a copy.

Why it works: what bodies hold is bounded whatever arrives, and small requests don't take part in the bound.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -20,12 +20,13 @@
 	// _maxAnswerBytes is the maximum size of an answer that is read whole before
 	// it is forwarded.
 	_maxAnswerBytes = 16 << 20
-	// _answerMemoryDivisor sets the memory that answers read whole may hold
-	// together: the process's memory divided by it. _defaultMemoryMB is the
-	// process's memory if the settings don't give it.
-	_answerMemoryDivisor = 8
-	_defaultMemoryMB     = 512
-	_readBufferSize      = 16 << 10
+	// _answerMemoryShare and _bodyMemoryShare are the shares of the process's memory
+	// that answers read whole, and the bodies of requests, may hold together.
+	// _defaultMemoryMB is the process's memory if the settings don't give it.
+	_answerMemoryShare = 0.125
+	_bodyMemoryShare   = 0.4
+	_defaultMemoryMB   = 512
+	_readBufferSize    = 16 << 10
 	// _maxForeignAnswers is the number of answers to other requests that are
 	// skipped on one connection before it is closed.
 	_maxForeignAnswers = 2
@@ -37,14 +38,14 @@
 	errEncoded  = errors.New("answer with a content encoding")
 )
 
-// newMemory returns the memory for answers in a process with processMB of
-// memory.
-func newMemory(processMB int) *hop.MemoryLimit {
+// newMemory returns a limit of the given share of the memory of a process, which has
+// processMB.
+func newMemory(processMB int, share float64) *hop.MemoryLimit {
 	if processMB == 0 {
 		processMB = _defaultMemoryMB
 	}
 
-	return hop.NewMemoryLimit(processMB << 20 / _answerMemoryDivisor)
+	return hop.NewMemoryLimit(int(float64(processMB<<20) * share))
 }
 
 // attempt is one try of a request at a backend server.
--- a/entry/bulletin.go
+++ b/entry/bulletin.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -8,11 +9,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	rendezvous "github.com/dgryski/go-rendezvous"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayastair.dev/papayastair/allowance"
 	"papayastair.dev/papayastair/event"
 	"papayastair.dev/papayastair/exchange"
+	"papayastair.dev/papayastair/hop"
 	"papayastair.dev/papayastair/site"
 	"papayastair.dev/papayastair/steward"
 	"papayastair.dev/papayastair/wire"
@@ -397,8 +400,14 @@
 	return out
 }
 
-// logMalformed logs bytes from a caller that are not a valid request.
-func (e *Entry) logMalformed(status int, err error) {
+// logUnread logs a request that was answered without being read.
+func (e *Entry) logUnread(status int, err error) {
+	if errors.Is(err, hop.ErrNoMemory) {
+		metrics.GetOrRegisterCounter("Entry.Refused.NoMemory.None", e.cfg.Registry).Inc(1)
+		e.cfg.Log.Write(event.EntryNoMemory, zap.Int("Status", status), zap.Int("Busy", e.busy()))
+
+		return
+	}
 	e.cfg.Log.Write(event.EntryMalformed, zap.Int("Status", status), zap.Error(err))
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,8 @@
 	servers     []*hop.Server
 	// memory bounds the memory held by answers that are being read.
 	memory *hop.MemoryLimit
+	// bodies bounds the memory held by the bodies of requests.
+	bodies *hop.MemoryLimit
 
 	current  atomic.Pointer[site.Configuration]
 	evidence evidence
@@ -152,7 +154,8 @@
 		}),
 		demand:       newDemandCounter(),
 		shortages:    newShortages(),
-		memory:       newMemory(cfg.Settings.MemoryMB),
+		memory:       newMemory(cfg.Settings.MemoryMB, _answerMemoryShare),
+		bodies:       newMemory(cfg.Settings.MemoryMB, _bodyMemoryShare),
 		pools:        map[string]*hop.Pool{},
 		idleTimeouts: map[string]*hop.IdleLimit{},
 		needs:        map[string]time.Time{},
@@ -288,7 +291,8 @@
 				defer e.cfg.Log.Recover("Caller")
 				l.handle(r)
 			},
-			Refused: e.logMalformed,
+			Refused: e.logUnread,
+			Memory:  e.bodies,
 		}))
 	}
 
--- a/event/entry.go
+++ b/event/entry.go
@@ -15,6 +15,7 @@
 	EntryFailed        = declare(6012, "EntryFailed", zapcore.WarnLevel, "A request ran or may have run and has no complete answer; with the reason.")
 	EntryLeft          = declare(6013, "EntryLeft", zapcore.InfoLevel, "A caller disconnected before its answer was complete; with the error that showed it, or none if the connection was checked.")
 	EntryMalformed     = declare(6014, "EntryMalformed", zapcore.InfoLevel, "A caller sent a malformed request; its connection was closed.")
+	EntryNoMemory      = declare(6017, "EntryNoMemory", zapcore.WarnLevel, "The bodies of other requests hold all memory for bodies; a request was refused before its body was read.")
 	AttemptFailed      = declare(6015, "AttemptFailed", zapcore.InfoLevel, "A backend server did not run a request or did not answer it completely; with the next action.")
 	EntryCut           = declare(6016, "EntryCut", zapcore.WarnLevel, "The process closed the connection of a request without a complete answer, because the process is ending.")
 	DeclarationTaken   = declare(6020, "DeclarationTaken", zapcore.InfoLevel, "A new version of the configuration took effect on this instance.")
--- a/hop/backend.go
+++ b/hop/backend.go
@@ -18,6 +18,9 @@
 	// _maxResponseHeadBytes limits the head of a response together with the
 	// interim responses before it.
 	_maxResponseHeadBytes = 32 << 10
+	// _maxCopiedBytes is the size up to which a body is sent in one write with its
+	// head.
+	_maxCopiedBytes = 16 << 10
 	// _idleTimeoutMargin is subtracted from the backend server's keep-alive
 	// timeout, so that a connection isn't used just as the backend server closes
 	// it.
@@ -273,9 +276,15 @@
 		out = append(out, "\r\n"...)
 	}
 	out = append(out, "\r\n"...)
-	out = append(out, body...)
 	c.pending.Store(true)
-	_, err := c.nc.Write(out)
+	var err error
+	if len(body) > _maxCopiedBytes {
+		parts := net.Buffers{out, body}
+		_, err = parts.WriteTo(c.nc)
+	} else {
+		out = append(out, body...)
+		_, err = c.nc.Write(out)
+	}
 	c.sent = err == nil
 	c.recordIfReset(err)
 	if cap(out) <= _maxResponseHeadBytes {
--- a/hop/body.go
+++ b/hop/body.go
@@ -222,6 +222,30 @@
 	}
 }
 
+// readDeclared is readAll for a body that the reader is willing to wait for: if its length
+// is known, all of its memory is reserved and allocated before the first byte is read.
+func (b *body) readDeclared(limit int, share *Reservation) ([]byte, error) {
+	if b.done || b.chunked || b.untilClose {
+		return b.readAll(limit, share)
+	}
+	if b.remaining > limit {
+		return nil, ErrBodyTooLarge
+	}
+	if err := share.reserve(b.remaining); err != nil {
+		return nil, err
+	}
+	all := make([]byte, b.remaining)
+	for n := 0; !b.done; {
+		read, err := b.read(all[n:])
+		if err != nil {
+			return nil, err
+		}
+		n += read
+	}
+
+	return all, nil
+}
+
 // discard reads and discards the rest of a body of at most limit bytes.
 func (b *body) discard(limit int) error {
 	if b.remaining > limit {
--- a/hop/memory.go
+++ b/hop/memory.go
@@ -5,15 +5,15 @@
 	"sync/atomic"
 )
 
-// ErrNoMemory is returned when the responses being read have used up the memory
+// ErrNoMemory is returned when the messages being read have used up the memory
 // that they share.
-var ErrNoMemory = errors.New("response memory limit reached")
+var ErrNoMemory = errors.New("memory limit of messages reached")
 
 // _unchargedBytes is the memory that each request may use without being charged
-// for it, so that large responses never keep small ones out.
+// for it, so that large messages never keep small ones out.
 const _unchargedBytes = 16 << 10
 
-// MemoryLimit limits the total memory of the responses being read. The zero value
+// MemoryLimit limits the total memory of the messages being read. The zero value
 // allows only the uncharged bytes of each request.
 type MemoryLimit struct {
 	available atomic.Int64
--- a/hop/server.go
+++ b/hop/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,6 +31,10 @@
 	// _retryAfterSeconds is the Retry-After value for a request that arrived after
 	// the server stopped accepting them. The retry should reach another instance.
 	_retryAfterSeconds = "0.050"
+	// _minMemoryRetry and _memoryRetrySpread determine the random Retry-After of a
+	// request whose body finds no memory.
+	_minMemoryRetry    = 300 * time.Millisecond
+	_memoryRetrySpread = 700 * time.Millisecond
 )
 
 // _pastDeadline is a deadline in the past, which makes pending reads fail at once.
@@ -45,9 +50,12 @@
 	// without a complete response, the connection is closed. It must not panic.
 	Handle func(r *Request)
 	// Refused is called for each request that could not be read, because it was
-	// invalid, too large or too slow, with the status of the response. It may be
-	// nil.
+	// invalid, too large or too slow, or for want of memory, with the status of the
+	// response. It may be nil.
 	Refused func(status int, err error)
+	// Memory limits the bodies of the requests that are being read or handled. If it
+	// is nil, there is no limit.
+	Memory *MemoryLimit
 }
 
 // Server reads requests from callers. Use Serve.
@@ -237,6 +245,7 @@
 		return false
 	}
 	if !c.server.beginRequest(c) {
+		r.memory.Release()
 		r.refuseUnavailable()
 		c.linger()
 
@@ -311,11 +320,15 @@
 // linger closes the write side and reads for a limited time, so that the caller
 // receives the response before the connection closes.
 func (c *callerConn) linger() {
+	c.lingerFor(_lingerTimeout, _lingerBytes)
+}
+
+func (c *callerConn) lingerFor(timeout time.Duration, bytes int) {
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	c.setReadDeadline(time.Now().Add(_lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.br, _lingerBytes)
+	c.setReadDeadline(time.Now().Add(timeout))
+	_, _ = io.CopyN(io.Discard, c.br, int64(bytes))
 }
 
 // read reads a request, including its body.
@@ -344,8 +357,11 @@
 		}
 	}
 	c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
-	content, err := b.readAll(limits.BodyBytes, nil)
+	memory := Reservation{Limit: c.server.cfg.Memory}
+	content, err := b.readDeclared(limits.BodyBytes, &memory)
 	if err != nil {
+		memory.Release()
+
 		return nil, err
 	}
 	c.requests++
@@ -356,6 +372,7 @@
 		Framed:       f.chunked || f.length >= 0,
 		Arrived:      arrived,
 		Ordinal:      c.requests,
+		memory:       memory,
 		conn:         c,
 		disconnected: make(chan struct{}),
 		done:         make(chan struct{}),
@@ -384,6 +401,18 @@
 	if c.server.cfg.Refused != nil {
 		c.server.cfg.Refused(status, err)
 	}
+	if errors.Is(err, ErrNoMemory) {
+		retry := _minMemoryRetry + rand.N(_memoryRetrySpread)
+		r.Answer(status, []Field{{
+			Name:  "Retry-After",
+			Value: strconv.FormatFloat(retry.Seconds(), 'f', 3, 64),
+		}}, nil)
+		// The caller may read the response only after it has sent the whole body.
+		limits := c.server.cfg.Limits()
+		c.lingerFor(limits.IdleTimeout, limits.BodyBytes)
+
+		return
+	}
 	r.Answer(status, nil, nil)
 	c.linger()
 }
@@ -400,6 +429,8 @@
 		return 505
 	case errors.Is(err, ErrMalformed):
 		return 400
+	case errors.Is(err, ErrNoMemory):
+		return 503
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return 408
 	default:
@@ -420,6 +451,8 @@
 	// Ordinal is the number of the request on its connection, starting at 1.
 	Ordinal int
 
+	// memory is that of the body.
+	memory       Reservation
 	conn         *callerConn
 	disconnected chan struct{}
 	done         chan struct{}
@@ -647,6 +680,7 @@
 	if !r.ended {
 		r.Abort()
 	}
+	r.memory.Release()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := time.Now()
