entry, quarantine: clear traits by answers that end with their connections

Cause: such an answer cleared nothing, as a crash may have ended it. The most specific of the parts that all crashes share was held, a sound one.

Ruled out: clearing by an answer that outlasts the end, to a request sent before it; streams of 0.2 s give none in the case, and bytes sent before a crash could look like one.

Why it works: a server that crashed at that end can't have started again; one that hadn't is asked again soon, at some instance.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -100,9 +100,10 @@
 	}
 	e.balancer.End(a.run, result, a.unitDuration(), time.Now())
 	switch {
-	case result == dispatch.ResultOK && !a.undelimited:
-		// An answer that ends with the connection may have been ended by a crash.
-		e.quarantine.Completed(j.traits)
+	case result == dispatch.ResultOK && a.undelimited:
+		e.endings.add(choice.Server.ID, j.traits, time.Now())
+	case result == dispatch.ResultOK:
+		e.quarantine.Completed(j.traits, 0)
 	case result == dispatch.ResultFailed && isBroken(err):
 		e.quarantine.Crashed(choice.Server.ID, j.traits, time.Since(a.sentAt))
 	}
@@ -172,6 +173,7 @@
 	}
 	if answer.ID == j.call.ID {
 		j.e.advise(a.choice.Server.ID, answer)
+		a.clearEndings()
 	}
 	a.undelimited = conn.EndsWithConnection()
 	a.firstLatency = time.Since(a.sentAt)
@@ -182,6 +184,15 @@
 	return a.forward(head, answer)
 }
 
+// clearEndings clears what earlier answers of the server had in common with crashes, now
+// that it has answered a request that was sent after their end.
+func (a *attempt) clearEndings() {
+	now := time.Now()
+	for _, n := range a.j.e.endings.takeWhole(a.choice.Server.ID, a.sentAt, now) {
+		a.j.e.quarantine.Completed(n.traits, now.Sub(n.at))
+	}
+}
+
 // dialTimeout returns the time limit for a new connection; it ends no later
 // than the process.
 func (j *job) dialTimeout() time.Duration {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,6 +105,7 @@
 	recordChanges *sharedChanges
 	quarantine    *quarantine.Quarantine
 	held          heldRecord
+	endings       endings
 	// heldChanged signals that the set of held traits has changed.
 	heldChanged chan struct{}
 	leaving     atomic.Bool
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -23,7 +23,7 @@
 //	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Spread: spread, Log: log})
 //	if trait, left := q.Find(traits); left > 0 { ... } // refuse the request
 //	q.Crashed(server, traits, ran) // its connection broke while the request ran
-//	q.Completed(traits)       // it was answered whole
+//	q.Completed(traits, 0)    // it was answered whole
 package quarantine
 
 import (
@@ -336,8 +336,9 @@
 	q.decide(now)
 }
 
-// Completed records the whole answer to a request with these traits.
-func (q *Quarantine) Completed(traits []int) {
+// Completed records the whole answer to a request with these traits, which ended the given
+// time ago.
+func (q *Quarantine) Completed(traits []int, ago time.Duration) {
 	if len(traits) == 0 {
 		return
 	}
@@ -345,7 +346,7 @@
 	defer q.unlock()
 	now := q.cfg.Elapsed()
 	for _, t := range traits {
-		q.clear(t, now, true, now)
+		q.clear(t, now-ago, true, now)
 	}
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -349,7 +349,7 @@
 			if r.cut {
 				sim.instances[r.instance].Crashed(sim.name(r.server), r.traits, sim.now-r.sentAt)
 			} else {
-				sim.instances[r.instance].Completed(r.traits)
+				sim.instances[r.instance].Completed(r.traits, 0)
 			}
 			i--
 		}
@@ -729,7 +729,7 @@
 				*now += _settleTime
 				q.Crashed("b", []int{1}, _testRan)
 				*now += _settleTime
-				q.Completed([]int{1})
+				q.Completed([]int{1}, 0)
 				*now += _settleTime
 				q.Crashed("c", []int{1}, _testRan)
 				*now += _settleTime
@@ -740,7 +740,7 @@
 			name: "a whole answer after",
 			give: func(q *Quarantine, now *time.Duration) {
 				accuseThrice(q, now, 1)
-				q.Completed([]int{1})
+				q.Completed([]int{1}, 0)
 			},
 		},
 		{
@@ -756,7 +756,7 @@
 		{
 			name: "held by an instance that doesn't know of a whole answer",
 			give: func(q *Quarantine, now *time.Duration) {
-				q.Completed([]int{1})
+				q.Completed([]int{1}, 0)
 				*now += time.Second
 				q.Receive(wire.CrashFindings{Held: []wire.HeldTrait{{
 					Trait: 1,
@@ -886,7 +886,7 @@
 		*now += time.Millisecond
 	}
 	for i := range 4 * _maxCompleted {
-		q.Completed([]int{-i})
+		q.Completed([]int{-i}, 0)
 		*now += time.Millisecond
 	}
 	reported := 0
@@ -928,7 +928,7 @@
 	if diff := cmp.Diff([]time.Duration{_probeInterval, 3 * _probeInterval, 7 * _probeInterval}, probes); diff != "" {
 		t.Errorf("probes (-want +got):\n%s", diff)
 	}
-	q.Completed([]int{_testProbed})
+	q.Completed([]int{_testProbed}, 0)
 	if diff := cmp.Diff([]int{1}, q.Held()); diff != "" {
 		t.Errorf("held after a whole answer (-want +got):\n%s", diff)
 	}
