entry: a stream without a length and without an event is no answer

Cause: the end of the connection between events was taken for the end of the stream, also before the first event.

Evidence: the new rows of TestUndelimitedAnswers fail before: 200, empty.

Change: such a stream is broken: resumed where the route allows it, else answered 502; the end counts as a broken connection.

Why it works: a stream is a series of events, so that an end before the first one is never that of a whole answer. A stream that says its end by its framing is forwarded as before.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -392,6 +392,10 @@
 				return a.streamBroken(feedErr)
 			}
 		}
+		if errors.Is(err, io.EOF) && a.undelimited && !began {
+			// A stream without a length and without an event is no answer.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) && len(j.events.Partial()) == 0 {
 			a.beginEvents(head)
 			j.r.End(nil)
