quarantine: grant a probe whose count was received before its acknowledgement

An instance that heard of its own count from the record's watch before its write was acknowledged didn't send the probe, so that a trait held wrongly stayed held until the next one. Found by reading; TestProbeCountReceivedFirst, row "received", fails before. A count is written by one instance only, so an equal one is its own.

--- a/hop/body.go
+++ b/hop/body.go
@@ -222,10 +222,10 @@
 	}
 }
 
-// readDeclared is readAll for a body that the reader is willing to wait for: if its length
-// is known, all of its memory is reserved and allocated before the first byte is read.
+// readDeclared is readAll, but the whole memory of a large body of known length is reserved
+// and allocated before its first byte is read, so that it is not refused halfway.
 func (b *body) readDeclared(limit int, share *Reservation) ([]byte, error) {
-	if b.done || b.chunked || b.untilClose {
+	if b.chunked || b.remaining <= _unchargedBytes {
 		return b.readAll(limit, share)
 	}
 	if b.remaining > limit {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -250,13 +250,14 @@
 	return out
 }
 
-// GrantProbe lets the next request with a held trait be sent as a probe. probes is the
-// number of probes that have been counted, this one included.
+// GrantProbe lets the next request with a held trait be sent as a probe, which this
+// instance has counted. probes is the number of probes counted, this one included. The
+// count may already have been received.
 func (q *Quarantine) GrantProbe(trait, probes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	h, ok := q.held[trait]
-	if !ok || probes <= h.probes {
+	if !ok || probes < h.probes {
 		return
 	}
 	now := q.cfg.Elapsed()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -934,6 +934,45 @@
 	}
 }
 
+// TestProbeCountReceivedFirst guards against a probe that is never sent because this
+// instance hears of its own count before its write is acknowledged, and against one that
+// is sent after another instance has counted the next.
+func TestProbeCountReceivedFirst(t *testing.T) {
+	tests := []struct {
+		name     string
+		received int
+		want     bool
+	}{
+		{
+			name: "not received",
+			want: true,
+		},
+		{
+			name:     "received",
+			received: 1,
+			want:     true,
+		},
+		{
+			name:     "the next one received",
+			received: 2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q, now := newTest()
+			accuseThrice(q, now, _testProbed)
+			q.ReceiveProbes([]wire.HeldTrait{{
+				Trait:  _testProbed,
+				Probes: tt.received,
+			}})
+			q.GrantProbe(_testProbed, 1)
+			if _, left := q.Find([]int{_testProbed}); left == 0 != tt.want {
+				t.Errorf("a probe was sent: %t, want %t", left == 0, tt.want)
+			}
+		})
+	}
+}
+
 // TestProbesOfFleet guards against a probe from each instance (BUDGET) where instances that
 // start again, or that don't know of the same others, each take themselves for the one that
 // sends probes.
