--- a/connection/pool.go
+++ b/connection/pool.go
@@ -127,8 +127,8 @@
 		return err
 	}
 	answerBy := deadline
-	if call.Patience > 0 {
-		answerBy = time.Now().Add(call.Hold + p.patience(call))
+	if by := time.Now().Add(call.Hold + p.patience(call)); call.Patience > 0 && by.Before(deadline) {
+		answerBy = by
 	}
 	failure := p.exchange(conn, call, answerBy, deadline)
 	if failure == nil {
@@ -168,7 +168,7 @@
 }
 
 // exchange sends a call and reads the answer, of which the first byte must arrive until
-// answerBy. It returns nil if the answer is complete.
+// answerBy, no later than deadline. It returns nil if the answer is complete.
 func (p *Pool) exchange(conn *pooledConn, call Call, answerBy, deadline time.Time) *CallError {
 	began, at := time.Now(), timer.Elapsed()
 	answered, err := p.transfer(conn, call, answerBy, deadline)
@@ -204,7 +204,7 @@
 		return false, err
 	}
 	sent := time.Now()
-	if err := conn.SetReadDeadline(earlier(answerBy, deadline)); err != nil {
+	if err := conn.SetReadDeadline(answerBy); err != nil {
 		return false, err
 	}
 	r := acquireReader(conn)
@@ -248,14 +248,6 @@
 	_readers.Put(r)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-
-	return b
-}
-
 // get returns the connection that was used last, or a new one.
 func (p *Pool) get(deadline time.Time) (*pooledConn, error) {
 	p.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -935,7 +935,7 @@
 }
 
 // TestProbeCountReceivedFirst guards against a probe that is never sent because this
-// instance hears of its own count before its write is acknowledged, and against one that
+// instance receives its own count before its write is acknowledged, and against one that
 // is sent after another instance has counted the next.
 func TestProbeCountReceivedFirst(t *testing.T) {
 	tests := []struct {
