--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -78,3 +78,17 @@
 
 	return fmt.Sprintf("status %d, seal %q, limit %q, retry after %q, body %.60q", a.status, a.seal, a.limit, a.retry, a.body)
 }
+
+// modelRequest returns a request to a model.
+func modelRequest(id, path, model, key string) request {
+	return request{
+		id:     id,
+		method: http.MethodPost,
+		path:   path,
+		fields: []string{
+			"X-Key: " + key, "X-Model: " + model, "X-Token-Count: 500,40", "X-Prompt-Prefix: a1:100," + fmt.Sprintf("%x", len(id)) + ":400",
+		},
+		body:     "prompt of " + id,
+		deadline: 12 * time.Second,
+	}
+}
--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -57,3 +57,42 @@
 		"tls":         false,
 	}
 }
+
+// engineService returns a service of model workers.
+func engineService(name string, models ...string) map[string]any {
+	list := make([]map[string]any, 0, len(models))
+	for _, m := range models {
+		list = append(list, map[string]any{
+			"name":       m,
+			"weights_mb": 65100,
+			"load_s":     2.6,
+			"adapters":   0,
+			"lora_mb":    12,
+			"warm_s":     0.6,
+			"disk_s":     1.0,
+		})
+	}
+	out := plainService(name)
+	out["max_conns"] = 290
+	out["engine"] = map[string]any{
+		"slots":       48,
+		"kv_capacity": 123621,
+		"weights_mb":  200000,
+		"lora_slots":  5,
+		"loads_per_s": 2.2,
+		"models":      list,
+	}
+
+	return out
+}
+
+// streamRoute returns a streaming route as that of live drafts.
+func streamRoute(name, service string) map[string]any {
+	return route(name, "streaming", service, map[string]any{
+		"timeout_ms": 12000,
+		"goal_ms":    250,
+		"priority":   1,
+		"gap_aim_ms": 150,
+		"sticky":     true,
+	})
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,6 +34,7 @@
 // scenarios are the cases by name. Each reports whether its rule was broken.
 var scenarios = map[string]func(c *context) (broken bool, err error){
 	"restored": playRestored,
+	"spoiled":  playSpoiled,
 }
 
 // _longest is the longest time of a run, after which it ends as one that couldn't run.
