--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,8 @@
 	fleet   *fleet
 	workers []*worker
 	network string
+	// tainted is the account of the scenario tainted.
+	tainted *taint
 	// trouble is set unless the disruption is left out.
 	trouble bool
 }
@@ -35,6 +37,7 @@
 var scenarios = map[string]func(c *context) (broken bool, err error){
 	"restored": playRestored,
 	"spoiled":  playSpoiled,
+	"tainted":  playTainted,
 }
 
 // _longest is the longest time of a run, after which it ends as one that couldn't run.
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -138,6 +138,15 @@
 	s.set(kind, name, text)
 }
 
+// remove removes an object as its owner.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.objects[kind][name]; ok {
+		s.unset(kind, name)
+	}
+}
+
 // set, unset and notify need the lock.
 func (s *store) set(kind, name string, spec json.RawMessage) storedObject {
 	if s.objects[kind] == nil {
