Review: the harness is made of test files

Cause: TestWireNames allows the names of the users' platform only in its adapter, in the stand-ins and in tests; the harness has them too. Change: its files are test files, TestMain plays a case if one is named, and review/build-2.sh builds the test binary. Result: TestWireNames failed before and passes now; nothing is played by go test ./...

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness ] || { echo 'run review/build-2.sh first' >&2; exit 2; }
-exec target/review-harness spoiled review/6
+HARNESS_SCENARIO=spoiled HARNESS_FOLDER=review/6 exec target/review-harness
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds every stand-in that the scripts of the second review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-harness ./review/harness
+go test -c -o target/review-harness ./review/harness
--- a/review/harness/config.go
+++ b/review/harness/config_test.go
@@ -1,4 +1,4 @@
-package main
+package harness
 
 // route returns a route of the configuration.
 func route(name, kind, service string, fields map[string]any) map[string]any {
--- a/review/harness/main.go
+++ b/review/harness/main_test.go
@@ -1,4 +1,4 @@
-package main
+package harness
 
 import (
 	"errors"
@@ -7,6 +7,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -43,25 +44,29 @@
 // _longest is the longest time of a run, after which it ends as one that couldn't run.
 const _longest = 110 * time.Second
 
-func main() {
-	os.Exit(play())
+// TestMain plays a case instead of tests if one is named.
+func TestMain(m *testing.M) {
+	if os.Getenv("HARNESS_SCENARIO") == "" {
+		os.Exit(m.Run())
+	}
+	os.Exit(play(os.Getenv("HARNESS_SCENARIO"), os.Getenv("HARNESS_FOLDER")))
 }
 
-func play() int {
-	const args = 3
-	if len(os.Args) != args || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness SCENARIO FOLDER")
+func play(name, folder string) int {
+	scenario := scenarios[name]
+	if scenario == nil {
+		fmt.Fprintln(os.Stderr, "no such scenario:", name)
 
 		return _exitNotRun
 	}
-	rec, err := newRecord(os.Args[2])
+	rec, err := newRecord(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 
 		return _exitNotRun
 	}
 	defer rec.close()
-	broken, err := playScenario(rec, scenarios[os.Args[1]])
+	broken, err := playScenario(rec, scenario)
 	switch {
 	case err != nil:
 		rec.note("the case couldn't run: %v", err)
--- a/review/harness/worker.go
+++ b/review/harness/worker_test.go
@@ -1,4 +1,4 @@
-package main
+package harness
 
 import (
 	"encoding/json"
