hop: forward the events before one with a wrong id

Cause: Events.checkIDs stored each id in LastID while it looked for a wrong one, and Feed then returned the error without the events before it. The request went on at another backend server behind LastID, past events that the caller had not received.

Ruled out: the server that resumes, which starts behind the id it is given each time.

Change: Feed returns the events before the wrong one together with the error, and LastID is the id of the last of these. The caller forwards them before it handles the error, as it did with an event that is too long. What the caller has and what a resumed run is asked for then agree.

The row "twice" of TestEvents asked for the fault itself: no event, and LastID 1. It now asks for event 1 and LastID 1.

--- a/hop/events.go
+++ b/hop/events.go
@@ -31,15 +31,18 @@
 // bufio.Scanner accepts by default.
 const _maxEventBytes = bufio.MaxScanTokenSize
 
-// Feed appends p to the stream and returns the events that are now complete. The
-// result is valid until the next call.
+// Feed appends p to the stream and returns the events that are now complete, up to
+// one whose id doesn't follow that of the event before it. They must be forwarded even
+// if there is an error, as LastID is that of the last of them. The result is valid
+// until the next call.
 func (e *Events) Feed(p []byte) ([]byte, error) {
 	e.buf = e.buf[:copy(e.buf, e.buf[e.returned:])]
 	e.returned = 0
 	if len(e.buf) == 0 {
 		end := lastEventEnd(p)
-		if err := e.checkIDs(p[:end]); err != nil {
-			return nil, err
+		valid, err := e.checkIDs(p[:end])
+		if err != nil {
+			return p[:valid], err
 		}
 		e.buf = append(e.buf, p[end:]...)
 
@@ -51,8 +54,8 @@
 	if end := lastEventEnd(e.buf[from:]); end > 0 {
 		e.returned = from + end
 	}
-	if err := e.checkIDs(e.buf[:e.returned]); err != nil {
-		return nil, err
+	if valid, err := e.checkIDs(e.buf[:e.returned]); err != nil {
+		return e.buf[:valid], err
 	}
 
 	return e.buf[:e.returned], e.checkPartial()
@@ -98,28 +101,33 @@
 	return end
 }
 
-// checkIDs checks that the ids of complete events increase by one where they are
-// numbers, and stores the last in LastID.
-func (e *Events) checkIDs(p []byte) error {
-	for len(p) > 0 {
-		line := p
-		if i := bytes.IndexByte(p, '\n'); i >= 0 {
-			line, p = p[:i], p[i+1:]
-		} else {
-			p = nil
+// checkIDs checks that the ids of the complete events in p increase by one where they
+// are numbers. It returns the length of the events before the first wrong id, and stores
+// the last id of these in LastID.
+func (e *Events) checkIDs(p []byte) (int, error) {
+	valid := 0
+	id := e.LastID
+	for i := 0; i < len(p); {
+		line := p[i : i+bytes.IndexByte(p[i:], '\n')]
+		i += len(line) + 1
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			valid = i
+			e.LastID = id
+
+			continue
 		}
-		id, ok := bytes.CutPrefix(line, []byte("id:"))
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
 		}
-		text := string(bytes.TrimSpace(id))
+		id = string(bytes.TrimSpace(value))
 		before, errBefore := strconv.Atoi(e.LastID)
-		now, errNow := strconv.Atoi(text)
+		now, errNow := strconv.Atoi(id)
 		if errBefore == nil && errNow == nil && now != before+1 {
-			return eris.Wrapf(ErrMalformed, "event id %d follows %d", now, before)
+			return valid, eris.Wrapf(ErrMalformed, "event id %d follows %d", now, before)
 		}
-		e.LastID = text
 	}
 
-	return nil
+	return valid, nil
 }
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -86,10 +86,26 @@
 		{
 			name: "twice",
 			give: []string{"id: 1\n\nid: 1\n\n"},
-			want: []string{""},
+			want: []string{"id: 1\n\n"},
 			last: "1",
 			err:  hop.ErrMalformed,
 		},
+		{
+			// The events before the wrong id were dropped although LastID named them, so
+			// that a resumed stream lacked them.
+			name: "gap behind other events",
+			give: []string{"id: 1\n\nid: 2\ndata: b\n\nid: 93\n\nid: 4\n\n"},
+			want: []string{"id: 1\n\nid: 2\ndata: b\n\n"},
+			last: "2",
+			err:  hop.ErrMalformed,
+		},
+		{
+			name: "gap behind the end of an incomplete event",
+			give: []string{"id: 1\n\nid: 2\nda", "ta: b\n\nid: 3\r\n\r\nid: 94\n\n"},
+			want: []string{"id: 1\n\n", "id: 2\ndata: b\n\nid: 3\r\n\r\n"},
+			last: "3",
+			err:  hop.ErrMalformed,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
