hop: resume a stream only behind an id that other ids confirm

Cause: the first id of a stream has none before it to be compared with, and was taken for right. If it was wrong, the next one was rejected, and the stream went on at another backend server behind the wrong id: at an event that doesn't exist.

Change: which of two ids is wrong isn't known. An id is confirmed if it is one more than that before it; the first is if it is 1, or if the second follows it. If ids contradict each other, only the events up to the last confirmed id are forwarded. A first event that is wrong and was read with the next one is discarded, and the stream begins anew at another server. A first event whose id isn't 1 is still forwarded at once, so that no stream waits; until the second has come, a stream that breaks off is cut, not resumed. AttemptFailed says so (Resumable).

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -113,7 +113,7 @@
 	if o != outcomeDone {
 		j.lastErr = err
 		e.cfg.Log.Write(event.AttemptFailed, append(j.logFields(), zap.String("At", choice.Server.ID), zap.Int("Load", choice.Load),
-			zap.Bool("MayHaveRun", o == outcomeMayHaveRun), zap.String("LastEventID", j.events.LastID), zap.Ints("Parts", j.call.Parts),
+			zap.Bool("MayHaveRun", o == outcomeMayHaveRun), zap.String("LastEventID", j.events.LastID()), zap.Bool("Resumable", j.events.IsResumable()), zap.Ints("Parts", j.call.Parts),
 			j.e.serversAgeField(), zap.Error(err))...)
 		metrics.GetOrRegisterCounter("Entry.AttemptFailed."+j.service, e.cfg.Registry).Inc(1)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -516,7 +516,7 @@
 	if j.sent >= max(j.route.Attempts, 1) || time.Until(j.deadline) <= 0 || j.e.abortCtx.Err() != nil {
 		return false
 	}
-	if j.route.Kind == site.KindStream && j.r.Begun() && j.events.LastID == "" {
+	if j.route.Kind == site.KindStream && j.r.Begun() && (j.events.LastID() == "" || !j.events.IsResumable()) {
 		return false
 	}
 
@@ -812,8 +812,8 @@
 	if j.workspace != nil {
 		out.Workspace = j.workspace.Name
 	}
-	if j.events.LastID != "" {
-		out.LastEventID = j.events.LastID
+	if j.events.LastID() != "" {
+		out.LastEventID = j.events.LastID()
 	}
 
 	return out
--- a/hop/events.go
+++ b/hop/events.go
@@ -13,12 +13,11 @@
 // breaks off in the middle of an event can resume after the last complete one at
 // another backend server.
 type Events struct {
-	// LastID is the id of the last complete event that has one, or "".
-	LastID string
 	// Reservation reserves memory for the buffer of an incomplete event. If it is nil,
 	// only the limit on a single event applies.
 	Reservation *Reservation
 
+	position position
 	// buf holds the bytes returned by the last call to Feed, followed by the
 	// incomplete event.
 	buf      []byte
@@ -27,14 +26,57 @@
 	reserved int
 }
 
+// position is a place in a stream between two events.
+type position struct {
+	// lastID is the id of the last event before it that has one, or "".
+	lastID string
+	// confirmed reports whether lastID fits the ids of other events. The first id of a
+	// stream is unconfirmed until the second, unless it is 1, and may be wrong itself.
+	confirmed bool
+}
+
+// isResumable reports whether another run can continue the stream here.
+func (p position) isResumable() bool {
+	return p.lastID == "" || p.confirmed
+}
+
+// after returns the position behind an event with the id given, which is "" if it has
+// none.
+func (p position) after(id string) (position, error) {
+	if id == "" {
+		return p, nil
+	}
+	before, errBefore := strconv.Atoi(p.lastID)
+	now, errNow := strconv.Atoi(id)
+	if errBefore == nil && errNow == nil && now != before+1 {
+		return p, eris.Wrapf(ErrMalformed, "event id %d follows %d", now, before)
+	}
+
+	return position{
+		lastID:    id,
+		confirmed: p.lastID != "" || id == "1",
+	}, nil
+}
+
 // _maxEventBytes limits the size of one event. It equals the longest line that
 // bufio.Scanner accepts by default.
 const _maxEventBytes = bufio.MaxScanTokenSize
 
-// Feed appends p to the stream and returns the events that are now complete, up to
-// one whose id doesn't follow that of the event before it. They must be forwarded even
-// if there is an error, as LastID is that of the last of them. The result is valid
-// until the next call.
+// LastID returns the id of the last event returned by Feed that has one, or "".
+func (e *Events) LastID() string {
+	return e.position.lastID
+}
+
+// IsResumable reports whether another run can continue the stream behind the events
+// returned by Feed: from its beginning if LastID is "", otherwise after LastID.
+func (e *Events) IsResumable() bool {
+	return e.position.isResumable()
+}
+
+// Feed appends p to the stream and returns the events that are now complete. If the ids
+// of two events contradict each other, it returns an error and the events before them
+// behind which the stream can be resumed. Events must be forwarded even if there is an
+// error, as LastID includes them. The result is valid until the next call.
 func (e *Events) Feed(p []byte) ([]byte, error) {
 	e.buf = e.buf[:copy(e.buf, e.buf[e.returned:])]
 	e.returned = 0
@@ -102,32 +144,38 @@
 }
 
 // checkIDs checks that the ids of the complete events in p increase by one where they
-// are numbers. It returns the length of the events before the first wrong id, and stores
-// the last id of these in LastID.
+// are numbers, and moves the position behind them. If an id is wrong, it returns the
+// length of the events before it that can be forwarded, and moves the position there:
+// the last place at which the stream can be resumed, if there is one.
 func (e *Events) checkIDs(p []byte) (int, error) {
-	valid := 0
-	id := e.LastID
+	end, resumeEnd := 0, 0
+	at, resumeAt := e.position, e.position
+	id := ""
 	for i := 0; i < len(p); {
 		line := p[i : i+bytes.IndexByte(p[i:], '\n')]
 		i += len(line) + 1
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if len(line) == 0 {
-			valid = i
-			e.LastID = id
-
-			continue
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
 		}
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+		if len(line) > 0 {
 			continue
 		}
-		id = string(bytes.TrimSpace(value))
-		before, errBefore := strconv.Atoi(e.LastID)
-		now, errNow := strconv.Atoi(id)
-		if errBefore == nil && errNow == nil && now != before+1 {
-			return valid, eris.Wrapf(ErrMalformed, "event id %d follows %d", now, before)
+		next, err := at.after(id)
+		if err != nil {
+			if resumeAt.isResumable() {
+				end, at = resumeEnd, resumeAt
+			}
+			e.position = at
+
+			return end, err
+		}
+		end, at, id = i, next, ""
+		if at.isResumable() {
+			resumeEnd, resumeAt = end, at
 		}
 	}
+	e.position = at
 
-	return valid, nil
+	return end, nil
 }
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -21,6 +21,8 @@
 		last string
 		rest string
 		err  error
+		// stuck is set if the stream can't be resumed behind the events returned.
+		stuck bool
 	}{
 		{
 			name: "complete events",
@@ -106,6 +108,43 @@
 			last: "3",
 			err:  hop.ErrMalformed,
 		},
+		{
+			// The stream was resumed behind the wrong id, and lacked all its pieces.
+			name: "wrong first id",
+			give: []string{"id: 91\n\nid: 2\n\nid: 3\n\n"},
+			want: []string{""},
+			err:  hop.ErrMalformed,
+		},
+		{
+			name:  "wrong first id alone",
+			give:  []string{"id: 91\n\n", "id: 2\n\n"},
+			want:  []string{"id: 91\n\n", ""},
+			last:  "91",
+			err:   hop.ErrMalformed,
+			stuck: true,
+		},
+		{
+			name:  "unconfirmed first id",
+			give:  []string{"id: 5\n\n", "id:"},
+			want:  []string{"id: 5\n\n", ""},
+			last:  "5",
+			rest:  "id:",
+			stuck: true,
+		},
+		{
+			name: "confirmed first id",
+			give: []string{"id: 5\n\n", "id: 6\n\nid: 9\n\n"},
+			want: []string{"id: 5\n\n", "id: 6\n\n"},
+			last: "6",
+			err:  hop.ErrMalformed,
+		},
+		{
+			name: "first id 1, then a wrong one",
+			give: []string{"id: 1\n\n", "id: 92\n\nid: 3\n\n"},
+			want: []string{"id: 1\n\n", ""},
+			last: "1",
+			err:  hop.ErrMalformed,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -123,9 +162,12 @@
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("events (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff([]string{tt.last, tt.rest}, []string{e.LastID, string(e.Partial())}); diff != "" {
+			if diff := cmp.Diff([]string{tt.last, tt.rest}, []string{e.LastID(), string(e.Partial())}); diff != "" {
 				t.Errorf("last and rest (-want +got):\n%s", diff)
 			}
+			if e.IsResumable() == tt.stuck {
+				t.Errorf("resumable = %t, want %t", e.IsResumable(), !tt.stuck)
+			}
 		})
 	}
 }
@@ -156,7 +198,7 @@
 				t.Fatalf("%d bytes returned and %d buffered, of %d", len(got), len(e.Partial()), seen)
 			}
 		}
-		if diff := cmp.Diff([]string{strings.TrimSuffix(stream, rest), rest, "4"}, []string{got, string(e.Partial()), e.LastID}); diff != "" {
+		if diff := cmp.Diff([]string{strings.TrimSuffix(stream, rest), rest, "4"}, []string{got, string(e.Partial()), e.LastID()}); diff != "" {
 			t.Fatalf("events, rest and last id (-want +got):\n%s", diff)
 		}
 	}
