hop: reject ids of events that aren't numbers behind ids that are

If a backend server spoils an id so that it isn't a number any more, the next id was compared with nothing, and a stream that broke off there was resumed behind the spoiled id: a server that can't read it sends the stream from its beginning, and callers get pieces twice (ORDER).

Cause: ids were compared only where both are numbers. An id after one that isn't a number was accepted, whatever it was.

Change: ids of one stream are numbers or aren't, which the first two decide. A change between the two contradicts the id before, and is handled as a gap is. Numbers have no sign and fit 63 bits. Ids that are all text are compared with nothing, as before.

--- a/hop/events.go
+++ b/hop/events.go
@@ -46,10 +46,8 @@
 	if id == "" {
 		return p, nil
 	}
-	before, errBefore := strconv.Atoi(p.lastID)
-	now, errNow := strconv.Atoi(id)
-	if errBefore == nil && errNow == nil && now != before+1 {
-		return p, eris.Wrapf(ErrMalformed, "event id %d follows %d", now, before)
+	if p.lastID != "" && !follows(p.lastID, id) {
+		return p, eris.Wrapf(ErrMalformed, "event id %.40q follows %.40q", id, p.lastID)
 	}
 
 	return position{
@@ -58,6 +56,18 @@
 	}, nil
 }
 
+// follows reports whether id can be that of the event behind the one with the id last.
+// If one of them is a number, it must be greater by one than the other.
+func follows(last, id string) bool {
+	before, errBefore := strconv.ParseUint(last, 10, 63)
+	now, errNow := strconv.ParseUint(id, 10, 63)
+	if errBefore != nil || errNow != nil {
+		return errBefore != nil && errNow != nil
+	}
+
+	return now == before+1
+}
+
 // _maxEventBytes limits the size of one event. It equals the longest line that
 // bufio.Scanner accepts by default.
 const _maxEventBytes = bufio.MaxScanTokenSize
@@ -143,8 +153,7 @@
 	return end
 }
 
-// checkIDs checks that the ids of the complete events in p increase by one where they
-// are numbers, and moves the position behind them. If an id is wrong, it returns the
+// checkIDs checks that the ids of the complete events in p follow each other, and moves the position behind them. If an id is wrong, it returns the
 // length of the events before it that can be forwarded, and moves the position there:
 // the last place at which the stream can be resumed, if there is one.
 func (e *Events) checkIDs(p []byte) (int, error) {
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -138,6 +138,48 @@
 			last: "6",
 			err:  hop.ErrMalformed,
 		},
+		{
+			// The check ended at such an id, and a resumed stream began anew behind it.
+			name: "id that isn't a number among numbers",
+			give: []string{"id: 1\n\nid: 2\n\nid: x3\n\nid: 4\n\n"},
+			want: []string{"id: 1\n\nid: 2\n\n"},
+			last: "2",
+			err:  hop.ErrMalformed,
+		},
+		{
+			name: "id that is too large a number",
+			give: []string{"id: 1\n\nid: 99999999999999999999\n\n"},
+			want: []string{"id: 1\n\n"},
+			last: "1",
+			err:  hop.ErrMalformed,
+		},
+		{
+			name: "id with a sign",
+			give: []string{"id: 1\n\nid: +2\n\n"},
+			want: []string{"id: 1\n\n"},
+			last: "1",
+			err:  hop.ErrMalformed,
+		},
+		{
+			name: "first id that isn't a number before numbers",
+			give: []string{"id: x1\n\nid: 2\n\n"},
+			want: []string{""},
+			err:  hop.ErrMalformed,
+		},
+		{
+			name:  "first id that isn't a number alone",
+			give:  []string{"id: x1\n\n", "id: 2\n\n"},
+			want:  []string{"id: x1\n\n", ""},
+			last:  "x1",
+			err:   hop.ErrMalformed,
+			stuck: true,
+		},
+		{
+			name: "ids that aren't numbers",
+			give: []string{"id: a\n\n", "id: c\n\nid: b\n\n"},
+			want: []string{"id: a\n\n", "id: c\n\nid: b\n\n"},
+			last: "b",
+		},
 		{
 			name: "first id 1, then a wrong one",
 			give: []string{"id: 1\n\n", "id: 92\n\nid: 3\n\n"},
