hop, entry: don't resume a stream behind an event without an id

If a backend server hands out an event whose id is missing and then breaks off, the stream was resumed behind the id before, and callers got that event twice, in a stream that ended as complete (ORDER).

Cause: whether a stream can be resumed was decided by whether any id is known. It has to be the id of the last event that was forwarded.

Change: an event with data and no id makes the stream one that can't be resumed, until an event with the right id follows. If the next id shows a gap in the same read, the events from the one without an id on are discarded, and the stream is resumed before them. Comments carry no data and change nothing: a stream of which only comments have been forwarded begins anew, which was cut before.

--- a/entry/request.go
+++ b/entry/request.go
@@ -516,7 +516,7 @@
 	if j.sent >= max(j.route.Attempts, 1) || time.Until(j.deadline) <= 0 || j.e.abortCtx.Err() != nil {
 		return false
 	}
-	if j.route.Kind == site.KindStream && j.r.Begun() && (j.events.LastID() == "" || !j.events.IsResumable()) {
+	if j.route.Kind == site.KindStream && !j.events.IsResumable() {
 		return false
 	}
 
--- a/hop/events.go
+++ b/hop/events.go
@@ -33,17 +33,22 @@
 	// confirmed reports whether lastID fits the ids of other events. The first id of a
 	// stream is unconfirmed until the second, unless it is 1, and may be wrong itself.
 	confirmed bool
+	// unnumbered is set if an event with data but without an id follows the one with
+	// lastID. A run that continues after lastID would repeat it.
+	unnumbered bool
 }
 
 // isResumable reports whether another run can continue the stream here.
 func (p position) isResumable() bool {
-	return p.lastID == "" || p.confirmed
+	return !p.unnumbered && (p.lastID == "" || p.confirmed)
 }
 
 // after returns the position behind an event with the id given, which is "" if it has
 // none.
-func (p position) after(id string) (position, error) {
+func (p position) after(id string, hasData bool) (position, error) {
 	if id == "" {
+		p.unnumbered = p.unnumbered || hasData
+
 		return p, nil
 	}
 	if p.lastID != "" && !follows(p.lastID, id) {
@@ -159,7 +164,7 @@
 func (e *Events) checkIDs(p []byte) (int, error) {
 	end, resumeEnd := 0, 0
 	at, resumeAt := e.position, e.position
-	id := ""
+	id, hasData := "", false
 	for i := 0; i < len(p); {
 		line := p[i : i+bytes.IndexByte(p[i:], '\n')]
 		i += len(line) + 1
@@ -167,10 +172,13 @@
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); string(name) == "data" {
+			hasData = true
+		}
 		if len(line) > 0 {
 			continue
 		}
-		next, err := at.after(id)
+		next, err := at.after(id, hasData)
 		if err != nil {
 			if resumeAt.isResumable() {
 				end, at = resumeEnd, resumeAt
@@ -179,7 +187,8 @@
 
 			return end, err
 		}
-		end, at, id = i, next, ""
+		end, at = i, next
+		id, hasData = "", false
 		if at.isResumable() {
 			resumeEnd, resumeAt = end, at
 		}
