hop, entry: compare the first event with the caller's Last-Event-Id

A caller may resume a stream itself. If the first event of the answer was not the next one, it got a stream without pieces in the middle, or pieces that it had (ORDER): the first id was compared with nothing, though the request says after which event it continues.

Change: on routes whose streams can be resumed, the id that the caller sends is the position from which the stream is checked. A first event that doesn't follow it is discarded, and the request goes on at another backend server. Elsewhere a server may ignore the field, and ids from the caller that aren't numbers are compared with nothing.

This also confirms the first id of such a stream: since one that broke off behind its first event was cut, not resumed.

--- a/entry/request.go
+++ b/entry/request.go
@@ -463,6 +463,9 @@
 		workspace = j.workspace.Name
 	}
 	j.traits = slices.Concat(j.call.Parts, []int{routing.Fingerprint(workspace, j.r.Head.Target, j.r.Body)})
+	if j.route.CanResume {
+		j.events.StartAfter(j.call.LastEventID)
+	}
 	ran := false
 	for tries := 1; ; tries++ {
 		if j.r.IsDisconnected() {
--- a/hop/events.go
+++ b/hop/events.go
@@ -77,7 +77,21 @@
 // bufio.Scanner accepts by default.
 const _maxEventBytes = bufio.MaxScanTokenSize
 
-// LastID returns the id of the last event returned by Feed that has one, or "".
+// StartAfter declares that the stream was requested after the event with the id given,
+// before any call to Feed. Its first event must follow that id. An id that isn't a number
+// is compared with nothing.
+func (e *Events) StartAfter(id string) {
+	if _, err := strconv.ParseUint(id, 10, 63); err != nil {
+		return
+	}
+	e.position = position{
+		lastID:    id,
+		confirmed: true,
+	}
+}
+
+// LastID returns the id of the last event returned by Feed that has one, or that of the
+// event after which the stream was requested, or "".
 func (e *Events) LastID() string {
 	return e.position.lastID
 }
