gateway: end a backend server's answer at any chunk with a wrong number

If a backend server spoils the number of a chunk, callers could get an answer that lacks tokens and ends as complete.

Cause: a chunk that leaves tokens out ended the answer unless it was the last one, which was delivered; a chunk with a lower number was taken for a repeat and dropped, also in the middle of one server's answer, and nothing missed it if the answer ended there.

Change: within one server's answer each chunk with text has the number after that of the one before, the last chunk too. The first may still repeat what has been delivered, as a server does that can't resume. At any other number the rest comes from another server.

--- a/gateway/crossed_test.go
+++ b/gateway/crossed_test.go
@@ -27,6 +27,18 @@
 			name:  "a gap",
 			chunk: `{"id":"%s","choices":[{"text":"foreign"}],"tokens":3}`,
 		},
+		{
+			name:  "a gap at the end",
+			chunk: `{"id":"%s","choices":[{"text":"foreign","finish_reason":"length"}],"tokens":3}`,
+		},
+		{
+			name:  "a number twice",
+			chunk: `{"id":"%s","choices":[{"text":"foreign"}],"tokens":1}`,
+		},
+		{
+			name:  "a number twice at the end",
+			chunk: `{"id":"%s","choices":[{"text":"foreign","finish_reason":"length"}],"tokens":1}`,
+		},
 		{
 			name:  "broken JSON",
 			chunk: `{"id":"%s","choices":[{"text":"foreign"`,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -158,9 +158,13 @@
 func (r *relay) run(deliver func(d delivery) bool) *problem {
 	for {
 		gone := false
+		last := 0
 		err := r.stream.Each(func(chunk engine.Chunk) bool {
-			if r.skips(chunk) {
-				return false
+			if chunk.Text != "" && chunk.Tokens > 0 {
+				if !r.isNext(chunk, last) {
+					return false
+				}
+				last = chunk.Tokens
 			}
 			ok := r.accept(chunk, deliver)
 			gone = !ok
@@ -197,9 +201,15 @@
 	}
 }
 
-// skips says that a chunk leaves tokens of the answer out.
-func (r *relay) skips(chunk engine.Chunk) bool {
-	return chunk.FinishReason == "" && chunk.Text != "" && chunk.Tokens > r.delivered+1
+// isNext reports whether the number of a chunk with text follows last, that of the chunk
+// before it from the same backend server. The first, where last is 0, may repeat what has
+// been delivered but leave out nothing.
+func (r *relay) isNext(chunk engine.Chunk, last int) bool {
+	if last > 0 {
+		return chunk.Tokens == last+1
+	}
+
+	return chunk.Tokens <= r.delivered+1
 }
 
 // accept hands over a chunk that continues the answer.
