hop: reject event ids that can't be sent in a header field

The id of the last event is sent as Last-Event-Id when a stream is resumed. Ids that are numbers can't hold one; this is about streams whose ids are text.

Change: such an id is malformed, and handled as a gap is. The check is that of the lines of heads, now a function of its own.

Test that failed on the commit before: row "id with a control byte" of TestEvents (accepted, LastID "b\rX: y"). go test ./hop ./platform passes with the change.

--- a/hop/events.go
+++ b/hop/events.go
@@ -51,6 +51,10 @@
 
 		return p, nil
 	}
+	// The id is sent in a header field when the stream is resumed.
+	if err := checkControlBytes(id); err != nil {
+		return p, err
+	}
 	if p.lastID != "" && !follows(p.lastID, id) {
 		return p, eris.Wrapf(ErrMalformed, "event id %.40q follows %.40q", id, p.lastID)
 	}
--- a/hop/events_test.go
+++ b/hop/events_test.go
@@ -228,6 +228,13 @@
 			want: []string{"id: 1\n\n:data: b\n\n"},
 			last: "1",
 		},
+		{
+			// Such an id became a line of its own in the request that resumes the stream.
+			name: "id with a control byte",
+			give: []string{"id: a\n\nid: b\rX: y\n\n"},
+			want: []string{""},
+			err:  hop.ErrMalformed,
+		},
 		{
 			name: "first id 1, then a wrong one",
 			give: []string{"id: 1\n\n", "id: 92\n\nid: 3\n\n"},
--- a/hop/head.go
+++ b/hop/head.go
@@ -176,15 +176,25 @@
 		return "", "", eris.Wrapf(ErrMalformed, "invalid line ending")
 	}
 	line = s[:i-1]
-	for j := range len(line) {
-		if c := line[j]; c < ' ' && c != '\t' || c == 0x7f {
-			return "", "", eris.Wrapf(ErrMalformed, "control byte %#x", c)
-		}
+	if err := checkControlBytes(line); err != nil {
+		return "", "", err
 	}
 
 	return line, s[i+1:], nil
 }
 
+// checkControlBytes reports a control byte in s other than tab, which no line of a head may
+// contain.
+func checkControlBytes(s string) error {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return eris.Wrapf(ErrMalformed, "control byte %#x", c)
+		}
+	}
+
+	return nil
+}
+
 func (h *Head) parseFields(s string) error {
 	h.Fields = make([]Field, 0, 12)
 	for s != "\r\n" {
