entry, quarantine: a server that refuses connections may have cut its last answer

Cause: an answer that a crash cuts between two events looks whole, and accuses nobody.

Change: once a server refuses a connection, the answers that ended last there, in the last 2 s and within 10 ms of each other, are accused as of their end. Crashed takes the time since then, as Completed does; the calls in its tests pass 0.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -104,11 +104,13 @@
 	}
 	switch {
 	case result == dispatch.ResultOK && a.undelimited:
-		e.endings.add(choice.Server.ID, j.traits, time.Now())
+		e.endings.add(choice.Server.ID, j.traits, time.Since(a.sentAt), time.Now())
 	case result == dispatch.ResultOK:
 		e.quarantine.Completed(j.traits, 0)
 	case result == dispatch.ResultFailed && isBroken(err):
-		e.quarantine.Crashed(choice.Server.ID, j.traits, time.Since(a.sentAt))
+		e.quarantine.Crashed(choice.Server.ID, j.traits, time.Since(a.sentAt), 0)
+	case result == dispatch.ResultUnreachable && errors.Is(err, syscall.ECONNREFUSED):
+		a.accuseEndings()
 	}
 	if o != outcomeDone {
 		j.lastErr = err
@@ -202,6 +204,15 @@
 	}
 }
 
+// accuseEndings accuses the traits of the answers that the crash of the server may have cut,
+// now that it refuses connections.
+func (a *attempt) accuseEndings() {
+	now := time.Now()
+	for _, n := range a.j.e.endings.takeCut(a.choice.Server.ID, now) {
+		a.j.e.quarantine.Crashed(a.choice.Server.ID, n.traits, n.ran, now.Sub(n.at))
+	}
+}
+
 // dialTimeout returns the time limit for a new connection; it ends no later
 // than the process.
 func (j *job) dialTimeout() time.Duration {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,7 +22,7 @@
 //
 //	q := quarantine.New(quarantine.Config{Elapsed: timer.Elapsed, Spread: spread, Log: log})
 //	if trait, left := q.Find(traits); left > 0 { ... } // refuse the request
-//	q.Crashed(server, traits, ran) // its connection broke while the request ran
+//	q.Crashed(server, traits, ran, 0) // its connection broke while the request ran
 //	q.Completed(traits, 0)    // it was answered whole
 package quarantine
 
@@ -318,8 +318,8 @@
 }
 
 // Crashed records that the connection to a backend server broke while a request
-// with these traits ran there, the given time after it was sent.
-func (q *Quarantine) Crashed(server string, traits []int, ran time.Duration) {
+// with these traits ran there, the time ran after it was sent and the time ago before now.
+func (q *Quarantine) Crashed(server string, traits []int, ran, ago time.Duration) {
 	if len(traits) == 0 {
 		return
 	}
@@ -328,10 +328,10 @@
 	now := q.cfg.Elapsed()
 	q.dropExpired(now)
 	for depth, t := range traits {
-		q.accuse(server, now, t, accusation{
+		q.accuse(server, now-ago, t, accusation{
 			depth:  depth,
 			own:    true,
-			sentAt: now - ran,
+			sentAt: now - ago - ran,
 		}, now)
 	}
 	q.decide(now)
