entry: an epoch of the store may have begun just before an instance starts

Cause: the first 2 s of an epoch, in which answers are no evidence, were counted only by instances that had seen the epoch before.

Change: an instance that starts in an epoch later than the first counts them from its first answer. Evidence of other instances, or a configuration that is seen to be written again, ends the wait as before. The first epoch's number is now in objectstore, where steward and entry take it from.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -162,7 +162,8 @@
 	expected  int64
 	// shown is the version of the configuration that the store has, and revision that of
 	// its object. rewritten is set once the object is known to have been written in the
-	// store's present epoch, which began at epochAt; _noEpoch and _neverChecked for none.
+	// store's present epoch, which began no later than epochAt; _noEpoch and _neverChecked
+	// for none.
 	shown     int
 	revision  int
 	rewritten bool
@@ -170,12 +171,13 @@
 	epochAt   time.Duration
 }
 
-// enterEpoch notes the store's epoch in an answer.
+// enterEpoch notes the store's epoch in an answer. That of the first answer may have begun
+// just now, unless the store was never restored.
 func (r *configurationReader) enterEpoch(epoch int) {
 	if epoch == r.epoch {
 		return
 	}
-	if r.epoch != _noEpoch {
+	if r.epoch != _noEpoch || epoch > objectstore.FirstEpoch {
 		r.epochAt = timer.Elapsed()
 	}
 	r.epoch = epoch
--- a/objectstore/epoch.go
+++ b/objectstore/epoch.go
@@ -1,5 +1,8 @@
 package objectstore
 
+// FirstEpoch is the last epoch of a store that was never restored from a copy.
+const FirstEpoch = 1
+
 // _epochRevisions is the number of revisions in an epoch.
 const _epochRevisions = 1_000_000_000_000
 
--- a/steward/lease.go
+++ b/steward/lease.go
@@ -43,8 +43,6 @@
 	// more often.
 	_unrenewedTimeout = 1200 * time.Millisecond
 	_acquireMargin    = 300 * time.Millisecond
-	// _firstEpoch is the last epoch of a store that was never restored from a copy.
-	_firstEpoch = 1
 	// The first _firstCandidates instances check a lease without a holder one
 	// _firstStagger after the other, the others one _otherStagger after the other: one of
 	// the first has usually acquired it by then.
@@ -359,7 +357,7 @@
 
 			return wire.Object{}, lease, err
 		}
-		lease.forgotten = l.epochOf(err) > _firstEpoch
+		lease.forgotten = l.epochOf(err) > objectstore.FirstEpoch
 
 		return wire.Object{}, lease, err
 	}
