--- a/standin/worker.go
+++ b/standin/worker.go
@@ -343,7 +343,15 @@
 	both := func(sent bool) (bool, bool) { return sent, sent }
 	const whole = "Content-Length: 5\r\n\r\nwhole"
 	switch mode {
-	case "events", "slow", "beats", "cut", "weights", "misnumbered":
+	case "misnumbered":
+		if last == "" {
+			sendMisnumbered(c, signed)
+
+			return false, false
+		}
+
+		return both(w.playEvents(c, mode, signed, last))
+	case "events", "slow", "beats", "cut", "weights":
 		return both(w.playEvents(c, mode, signed, last))
 	case "large":
 		return both(send(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signed, LargeAnswer, strings.Repeat("large ", LargeAnswer/6)))
@@ -386,17 +394,15 @@
 	}
 }
 
+// _eventsHead is the head of a stream, with the fields that sign it.
+const _eventsHead = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // playEvents sends the events after the one named last, and says whether all
 // went out.
 func (w *Worker) playEvents(c net.Conn, mode, signed, last string) bool {
 	// No last event is the beginning.
 	from, _ := strconv.Atoi(last)
-	send(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed)
-	if mode == "misnumbered" && from == 0 {
-		sendMisnumbered(c)
-
-		return false
-	}
+	send(c, _eventsHead, signed)
 	for i := from + 1; i <= _workerBeats; i++ {
 		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		if mode == "weights" {
@@ -442,7 +448,8 @@
 
 // sendMisnumbered sends all events together and ends the stream as complete, with a wrong
 // id in the third event.
-func sendMisnumbered(c net.Conn) {
+func sendMisnumbered(c net.Conn, signed string) {
+	send(c, _eventsHead, signed)
 	var b strings.Builder
 	for i := 1; i <= _workerBeats; i++ {
 		id := i
