--- a/entry/endings.go
+++ b/entry/endings.go
@@ -63,7 +63,8 @@
 }
 
 // takeWhole returns and forgets the answers that are whole because the server has now
-// answered a request that was sent at the time sentAt.
+// answered a request that was sent at the time sentAt. Of older ones it can't be told, as the
+// server may have started again since; they are only forgotten.
 func (e *endings) takeWhole(server string, sentAt, now time.Time) []ending {
 	e.mu.Lock()
 	defer e.mu.Unlock()
