--- a/hop/position.go
+++ b/hop/position.go
@@ -46,7 +46,7 @@
 }
 
 // follows reports whether id can be that of the event behind the one with the id last.
-// If one of them is a number, it must be greater by one than the other.
+// If one of them is a number, both must be, and id must be greater by one.
 func follows(last, id string) bool {
 	before, errBefore := strconv.ParseUint(last, 10, 63)
 	now, errNow := strconv.ParseUint(id, 10, 63)
