--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -78,7 +78,6 @@
 	orders   []order
 	runs     map[string]int
 	conns    map[net.Conn]bool
-	delayed  int
 }
 
 func newEngine(cfg engineConfig) (*engine, error) {
@@ -170,7 +169,7 @@
 
 // models returns what the worker holds. e.mu must be held.
 func (e *engine) models() []map[string]any {
-	out := []map[string]any{}
+	out := make([]map[string]any, 0, len(e.adapters))
 	for m, adapters := range e.adapters {
 		out = append(out, map[string]any{
 			"name":     m,
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -72,8 +72,6 @@
 	log    *os.File
 }
 
-func (m *machine) front() string { return m.ip + ":8221" }
-
 // fleet is the machines of the system with a store, on loopback addresses.
 type fleet struct {
 	dir      string
@@ -81,7 +79,9 @@
 	platform *standin.Platform
 	store    objectstore.Store
 	machines []*machine
-	version  int
+	// added counts all machines, also those that are gone.
+	added   int
+	version int
 }
 
 func newFleet(rec *record) (*fleet, error) {
@@ -114,10 +114,10 @@
 
 // add adds a machine, which isn't started.
 func (f *fleet) add(name, zone string) *machine {
-	n := len(f.machines) + 1
+	f.added++
 	m := &machine{
 		name: name,
-		ip:   fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+os.Getpid()/200%250, n),
+		ip:   fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+os.Getpid()/200%250, f.added),
 		zone: zone,
 	}
 	m.path = filepath.Join(f.dir, name+".toml")
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,7 @@
 
 func run() int {
 	plays := map[string]func(rec *record, trouble bool) ([]string, error){
+		"names": playNames,
 		"zones": playZones,
 	}
 	if len(os.Args) != _arguments || plays[os.Args[1]] == nil {
--- a/review/standin3/zones.go
+++ b/review/standin3/zones.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"slices"
 	"syscall"
 	"time"
 )
@@ -18,7 +16,7 @@
 
 // engineService returns the declaration of a service of model workers.
 func engineService(models, adapters int) map[string]any {
-	list := []any{}
+	list := make([]any, 0, models)
 	for i := range models {
 		list = append(list, map[string]any{
 			"name": fmt.Sprintf("m%d", i), "weights_mb": _modelMB, "load_s": _modelLoad.Seconds(), "warm_s": 0.2, "disk_s": 0.4,
@@ -58,47 +56,12 @@
 		return nil, err
 	}
 	defer f.Close()
-	if err := f.declare([]any{liveRoute()}, []any{engineService(2, 8)}, []any{tenant()}); err != nil {
+	engines, err := f.startSystem([]string{"colombo-a", "negombo"})
+	if err != nil {
 		return nil, err
 	}
-	var engines []*engine
-	for _, zone := range []string{"colombo-a", "colombo-a", "negombo", "negombo"} {
-		e, err := newEngine(engineConfig{
-			ID:      fmt.Sprintf("i-%s-%d", zone, len(engines)),
-			Service: _engines,
-			Zone:    zone,
-			Models:  []string{"m0", "m1"},
-			Store:   f.store,
-			Record:  rec,
-		})
-		if err != nil {
-			return nil, err
-		}
-		defer e.Close()
-		engines = append(engines, e)
-	}
-	zones := []string{"colombo-a", "negombo"}
-	for i, zone := range []string{"colombo-a", "negombo", "negombo", "colombo-a"} {
-		m := f.add(fmt.Sprintf("edge-%s-%d", zone, i+1), zone)
-		if !m.portsFree() {
-			return nil, fmt.Errorf("the ports of %s are in use", m.ip)
-		}
-		if err := f.writeSettings(m, zones); err != nil {
-			return nil, err
-		}
-		if err := m.start(); err != nil {
-			return nil, err
-		}
-	}
-	if !f.awaitReady() {
-		return nil, fmt.Errorf("the machines aren't ready after %s", _readyFor)
-	}
-	c := clients{f: f}
-	for model := range 2 {
-		for adapter := range 8 {
-			c.models = append(c.models, fmt.Sprintf("m%d/a%d", model, adapter+1))
-		}
-	}
+	defer closeAll(engines)
+	c := f.newClients()
 	c.run(12, 20*time.Millisecond)
 	time.Sleep(_warmUp)
 	if trouble {
@@ -123,37 +86,9 @@
 	rec.write("%s is started again", m.name)
 	time.Sleep(_afterAll)
 	c.Close()
-	if path := os.Getenv("KEEP_LOGS"); path != "" {
-		_ = os.CopyFS(path, os.DirFS(f.dir))
-	}
-
-	return judgeOne(engines), nil
-}
-
-// judgeOne returns the orders that break the rule ONE: to one worker, two holders take
-// turns within lease_ms, or a lower fencing token comes after a higher one.
-func judgeOne(engines []*engine) []string {
-	var breaks []string
 	for _, e := range engines {
-		last := map[string]order{}
-		highest := order{}
-		for _, o := range e.taken() {
-			for holder, former := range last {
-				if gap := o.At.Sub(former.At); holder != o.Holder && gap < _lease {
-					breaks = append(breaks, fmt.Sprintf("%s: order of %s (fence %d) %.3f s after one of %s (fence %d)",
-						o.Server, o.Holder, o.Fence, gap.Seconds(), former.Holder, former.Fence))
-				}
-			}
-			if o.Fence < highest.Fence && o.Holder != highest.Holder {
-				breaks = append(breaks, fmt.Sprintf("%s: fence %d of %s after %d of %s", o.Server, o.Fence, o.Holder, highest.Fence, highest.Holder))
-			}
-			if o.Fence > highest.Fence {
-				highest = o
-			}
-			last[o.Holder] = o
-		}
+		breaks = append(breaks, judgeOrders(e.taken())...)
 	}
-	slices.Sort(breaks)
 
-	return breaks
+	return breaks, nil
 }
