--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -35,7 +35,8 @@
 	_statusMoved  = "421 Misdirected Request"
 )
 
-// engineConfig describes a stand-in of a model worker.
+// engineConfig describes a stand-in of a worker. One without models is plain: it answers
+// with a body of known length and takes no orders.
 type engineConfig struct {
 	ID      string
 	Service string
@@ -58,8 +59,14 @@
 	Status  int
 }
 
-// engine is a model worker: it registers in the store, takes orders one after the
-// other and answers requests by streams of events.
+// served is a request that a worker has begun to work on.
+type served struct {
+	At time.Time
+	ID string
+}
+
+// engine is a worker: it registers in the store, takes orders one after the other and
+// answers requests, a model worker by streams of events.
 type engine struct {
 	cfg      engineConfig
 	listener net.Listener
@@ -76,7 +83,7 @@
 	busy     bool
 	overload bool
 	orders   []order
-	runs     map[string]int
+	runs     []served
 	conns    map[net.Conn]bool
 }
 
@@ -92,7 +99,6 @@
 		stop:     make(chan struct{}),
 		adapters: map[string][]string{},
 		inUse:    map[string]int{},
-		runs:     map[string]int{},
 		conns:    map[net.Conn]bool{},
 	}
 	for _, m := range cfg.Models {
@@ -246,6 +252,9 @@
 		return reply(c, _statusMoved, echo+"X-Instance-Id: "+e.cfg.ID+"\r\n", "")
 	}
 	defer e.end(model, adapter)
+	if len(e.cfg.Models) == 0 {
+		return reply(c, _statusOK, echo+"X-Server-Seal: "+e.cfg.ID+"\r\n", e.cfg.Service)
+	}
 
 	return e.stream(c, r, echo)
 }
@@ -255,10 +264,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	adapters, ok := e.adapters[model]
-	if !ok || adapter != "" && !slices.Contains(adapters, adapter) {
+	isPlain := len(e.cfg.Models) == 0
+	if !isPlain && (!ok || adapter != "" && !slices.Contains(adapters, adapter)) {
 		return false
 	}
-	e.runs[id]++
+	e.runs = append(e.runs, served{
+		At: time.Now(),
+		ID: id,
+	})
 	e.running++
 	e.inUse[model+"/"+adapter]++
 
@@ -408,6 +421,14 @@
 	return http.StatusOK
 }
 
+// ran returns the requests that the worker has run.
+func (e *engine) ran() []served {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return slices.Clone(e.runs)
+}
+
 // taken returns the orders that arrived.
 func (e *engine) taken() []order {
 	e.mu.Lock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,7 @@
 
 func run() int {
 	plays := map[string]func(rec *record, trouble bool) ([]string, error){
+		"moved": playMoved,
 		"names": playNames,
 		"zones": playZones,
 	}
--- a/review/standin3/names.go
+++ b/review/standin3/names.go
@@ -98,24 +98,30 @@
 		}
 		engines = append(engines, e)
 	}
+
+	return engines, f.startMachines(zones)
+}
+
+// startMachines starts four machines and waits until they are ready.
+func (f *fleet) startMachines(zones []string) error {
 	for i := range 4 {
 		zone := zones[(i+i/2)%len(zones)]
 		m := f.add(fmt.Sprintf("edge-%s-%d", zone, i+1), zone)
 		if !m.portsFree() {
-			return nil, fmt.Errorf("the ports of %s are in use", m.ip)
+			return fmt.Errorf("the ports of %s are in use", m.ip)
 		}
 		if err := f.writeSettings(m, zones); err != nil {
-			return nil, err
+			return err
 		}
 		if err := m.start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if !f.awaitReady() {
-		return nil, fmt.Errorf("the machines aren't ready after %s", _readyFor)
+		return fmt.Errorf("the machines aren't ready after %s", _readyFor)
 	}
 
-	return engines, nil
+	return nil
 }
 
 func closeAll(engines []*engine) {
