--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -23,6 +23,10 @@
 type clients struct {
 	f      *fleet
 	models []string
+	// prefix returns the parts of the prompt of a request; nil for two small ones. ended is
+	// called with the id of each request that was sent; it may be nil.
+	prefix func(id string) string
+	ended  func(id, result string, sent time.Time)
 	stop   chan struct{}
 	wg     sync.WaitGroup
 	sent   atomic.Int64
@@ -73,8 +77,12 @@
 		case <-time.After(pause):
 		}
 		model := c.models[rand.IntN(len(c.models))]
-		result := c.request(client, fmt.Sprintf("%04x%08x", number, i), model)
+		id, sent := fmt.Sprintf("%04x%08x", number, i), time.Now()
+		result := c.request(client, id, model)
 		c.sent.Add(1)
+		if c.ended != nil {
+			c.ended(id, result, sent)
+		}
 		if result == "" {
 			c.served.Add(1)
 
@@ -102,6 +110,9 @@
 	r.Header.Set("X-Model", model)
 	r.Header.Set("X-Token-Count", "100,30")
 	r.Header.Set("X-Prompt-Prefix", "5c1e07a2:50,"+id+":50")
+	if c.prefix != nil {
+		r.Header.Set("X-Prompt-Prefix", c.prefix(id))
+	}
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(_deadline.Milliseconds(), 10))
 	r.Header.Set("X-Key", _key)
 	resp, err := client.Do(r)
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -35,15 +35,18 @@
 	_statusMoved  = "421 Misdirected Request"
 )
 
-// engineConfig describes a stand-in of a worker. One without models is plain: it answers
-// with a body of known length and takes no orders.
+// engineConfig describes a stand-in of a worker. A plain one answers with a body of known
+// length and takes no orders. Begun is called when a request begins to run, before the first
+// byte of its answer; if it returns true, the worker crashes. It may be nil.
 type engineConfig struct {
 	ID      string
 	Service string
 	Zone    string
 	Models  []string
+	Plain   bool
 	Store   objectstore.Store
 	Record  *record
+	Begun   func(e *engine, r *http.Request) bool
 }
 
 // order is an order as it arrived at a worker.
@@ -72,6 +75,7 @@
 	listener net.Listener
 	born     int64
 	stop     chan struct{}
+	once     sync.Once
 	wg       sync.WaitGroup
 
 	mu       sync.Mutex
@@ -116,7 +120,7 @@
 
 // Close ends all connections and waits.
 func (e *engine) Close() {
-	close(e.stop)
+	e.once.Do(func() { close(e.stop) })
 	_ = e.listener.Close()
 	e.mu.Lock()
 	for c := range e.conns {
@@ -126,6 +130,21 @@
 	e.wg.Wait()
 }
 
+// crash ends the worker: its connections are reset, and nothing listens any more.
+func (e *engine) crash() {
+	e.once.Do(func() { close(e.stop) })
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Without it the close is no reset, which a crash may be, too.
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // beat writes the entry at each heartbeat.
 func (e *engine) beat() {
 	defer e.wg.Done()
@@ -252,7 +271,12 @@
 		return reply(c, _statusMoved, echo+"X-Instance-Id: "+e.cfg.ID+"\r\n", "")
 	}
 	defer e.end(model, adapter)
-	if len(e.cfg.Models) == 0 {
+	if e.cfg.Begun != nil && e.cfg.Begun(e, r) {
+		e.crash()
+
+		return false
+	}
+	if e.cfg.Plain {
 		return reply(c, _statusOK, echo+"X-Server-Seal: "+e.cfg.ID+"\r\n", e.cfg.Service)
 	}
 
@@ -264,8 +288,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	adapters, ok := e.adapters[model]
-	isPlain := len(e.cfg.Models) == 0
-	if !isPlain && (!ok || adapter != "" && !slices.Contains(adapters, adapter)) {
+	if !e.cfg.Plain && (!ok || adapter != "" && !slices.Contains(adapters, adapter)) {
 		return false
 	}
 	e.runs = append(e.runs, served{
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,9 +29,10 @@
 
 func run() int {
 	plays := map[string]func(rec *record, trouble bool) ([]string, error){
-		"moved": playMoved,
-		"names": playNames,
-		"zones": playZones,
+		"deadly": playDeadly,
+		"moved":  playMoved,
+		"names":  playNames,
+		"zones":  playZones,
 	}
 	if len(os.Args) != _arguments || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
--- a/review/standin3/moved.go
+++ b/review/standin3/moved.go
@@ -136,6 +136,7 @@
 				ID:      "i-" + service + "-" + zone,
 				Service: service,
 				Zone:    zone,
+				Plain:   true,
 				Store:   f.store,
 				Record:  f.record,
 			})
