--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -30,8 +30,8 @@
 func run() int {
 	plays := map[string]func(rec *record, trouble bool) ([]string, error){
 		"deadly": playDeadly,
-		"moved":  playMoved,
 		"names":  playNames,
+		"query":  playQuery,
 		"zones":  playZones,
 	}
 	if len(os.Args) != _arguments || plays[os.Args[1]] == nil {
