review 15: a request that silently crashes workers is never held

Cause: only a connection that ends or is reset counts as a crash, not a run without an answer at a worker that then comes back as a new start. Change: a script in which workers are silent from the crash until they are back.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# LOST: a part of a prompt crashes workers; it is the seventeenth part.
+# BUDGET: a request crashes workers, which are silent until they are back.
 cd "$(dirname "$0")/../.." || exit 2
-ID_DIGITS=8 PARTS_BETWEEN=15 exec target/standin3 deadly review/15/record.txt
+exec target/standin3 dark review/15/record.txt
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"papayastair.dev/papayastair/objectstore"
 )
 
@@ -24,6 +26,7 @@
 	_events       = 5
 	_eventPause   = 15 * time.Millisecond
 	_slots        = 16
+	_queued       = 4
 	_weightsMB    = 100.0
 	_loraSlots    = 3
 	_modelMB      = 40.0
@@ -47,6 +50,9 @@
 	Store   objectstore.Store
 	Record  *record
 	Begun   func(e *engine, r *http.Request) bool
+	// Dark is how long a worker that crashes is silent before its connections are reset; 0 if
+	// they are at once.
+	Dark time.Duration
 }
 
 // order is an order as it arrived at a worker.
@@ -80,6 +86,7 @@
 	beats    int
 	busy     bool
 	overload bool
+	dark     bool
 	orders   []order
 	conns    map[net.Conn]bool
 }
@@ -138,6 +145,39 @@
 	}
 }
 
+// goDark makes the worker silent, as a machine that has lost power: it answers nothing, not
+// even new connections, and its heartbeats end.
+func (e *engine) goDark() {
+	e.once.Do(func() { close(e.stop) })
+	e.mu.Lock()
+	e.dark = true
+	e.mu.Unlock()
+	if tcp, ok := e.listener.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			// With a full queue of new connections the kernel answers no others.
+			_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) })
+		}
+	}
+	for range _queued {
+		go func() {
+			c, err := net.DialTimeout("tcp", e.listener.Addr().String(), e.cfg.Dark)
+			if err == nil {
+				time.Sleep(e.cfg.Dark)
+				_ = c.Close()
+			}
+		}()
+	}
+	time.Sleep(e.cfg.Dark)
+}
+
+// isDark reports whether the worker is silent.
+func (e *engine) isDark() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.dark
+}
+
 // beat writes the entry at each heartbeat.
 func (e *engine) beat() {
 	defer e.wg.Done()
@@ -208,7 +248,11 @@
 		}
 		e.mu.Lock()
 		e.conns[c] = true
+		dark := e.dark
 		e.mu.Unlock()
+		if dark {
+			return
+		}
 		e.wg.Add(1)
 		go func() {
 			defer e.wg.Done()
@@ -243,6 +287,11 @@
 }
 
 func (e *engine) answer(c net.Conn, r *http.Request, body []byte) bool {
+	if e.isDark() {
+		time.Sleep(e.cfg.Dark)
+
+		return false
+	}
 	id := r.Header.Get(_headerID)
 	echo := ""
 	if id != "" {
@@ -265,6 +314,9 @@
 	}
 	defer e.end(model, adapter)
 	if e.cfg.Begun != nil && e.cfg.Begun(e, r) {
+		if e.cfg.Dark > 0 {
+			e.goDark()
+		}
 		e.crash()
 
 		return false
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,7 @@
 
 func run() int {
 	plays := map[string]func(rec *record, trouble bool) ([]string, error){
+		"dark":   playDark,
 		"deadly": playDeadly,
 		"names":  playNames,
 		"query":  playQuery,
--- a/review/standin3/query.go
+++ b/review/standin3/query.go
@@ -16,15 +16,18 @@
 	_third        = 3
 	_queryChoice  = "QUERY"
 	_queryAlike   = "alike"
+	_darkChoice   = "DARK"
 	_deadlyClient = 99
 )
 
 // queryDay is a day on which one request crashes the workers that run it. It comes again
-// with the same path, caller and body, and another query each time.
+// with the same path, caller and body, and another query each time unless alike is set.
+// dark is how long a worker that crashes is silent.
 type queryDay struct {
 	deadlyDay
 
 	alike bool
+	dark  time.Duration
 }
 
 // begun notes the request, and reports whether the worker crashes.
@@ -59,6 +62,7 @@
 		Store:   d.f.store,
 		Record:  d.f.record,
 		Begun:   d.begun,
+		Dark:    d.dark,
 	})
 	if err != nil {
 		d.f.record.write("a worker doesn't start: %v", err)
@@ -68,18 +72,33 @@
 	d.engines = append(d.engines, e)
 }
 
-// playQuery plays a day with a request that crashes workers. It returns the breaks of the
-// rule BUDGET.
+// playQuery plays a day with a request that crashes workers and comes again with another
+// query each time. It returns the breaks of the rule BUDGET.
 func playQuery(rec *record, trouble bool) (breaks []string, err error) {
+	return playCrashing(rec, trouble, &queryDay{alike: os.Getenv(_queryChoice) == _queryAlike})
+}
+
+// playDark plays a day with a request that crashes workers and comes again as it was; a
+// worker that crashes is silent until it is back. It returns the breaks of the rule BUDGET.
+func playDark(rec *record, trouble bool) (breaks []string, err error) {
+	day := &queryDay{
+		alike: true,
+		dark:  _back,
+	}
+	if os.Getenv(_darkChoice) == _troubleOff {
+		day.dark = 0
+	}
+
+	return playCrashing(rec, trouble, day)
+}
+
+func playCrashing(rec *record, trouble bool, d *queryDay) (breaks []string, err error) {
 	f, err := newFleet(rec)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	d := &queryDay{
-		deadlyDay: deadlyDay{f: f},
-		alike:     os.Getenv(_queryChoice) == _queryAlike,
-	}
+	d.f = f
 	services := []any{map[string]any{"name": _printdesk, "health_path": "/healthz", "max_conns": 110}}
 	if err := f.declare([]any{statusRoute(_printdesk)}, services, []any{tenant()}); err != nil {
 		return nil, err
@@ -100,7 +119,8 @@
 	}
 	defer close(stop)
 	time.Sleep(_apply)
-	for i := 0; trouble && i < int(_deadlyFor/_deadlyPause); i++ {
+	began := time.Now()
+	for i := 0; trouble && time.Since(began) < _deadlyFor; i++ {
 		d.ask(i)
 		time.Sleep(_deadlyPause)
 	}
