--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -27,16 +27,21 @@
 	// called with the id of each request that was sent; it may be nil.
 	prefix func(id string) string
 	ended  func(id, result string, sent time.Time)
-	stop   chan struct{}
-	wg     sync.WaitGroup
-	sent   atomic.Int64
-	served atomic.Int64
-	other  sync.Map
+	// patience is the time after which a client gives up a stream.
+	patience time.Duration
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	sent     atomic.Int64
+	served   atomic.Int64
+	other    sync.Map
 }
 
 // run starts n clients, each with a pause between its requests.
 func (c *clients) run(n int, pause time.Duration) {
 	c.stop = make(chan struct{})
+	if c.patience == 0 {
+		c.patience = _deadline
+	}
 	for i := range n {
 		c.wg.Add(1)
 		go func() {
@@ -68,7 +73,7 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{
 		Transport: transport,
-		Timeout:   _deadline,
+		Timeout:   c.patience,
 	}
 	for i := 0; ; i++ {
 		select {
--- a/review/standin3/deadly.go
+++ b/review/standin3/deadly.go
@@ -27,6 +27,7 @@
 	_idDigits      = 32
 	_idChoice      = "ID_DIGITS"
 	_betweenChoice = "PARTS_BETWEEN"
+	_gap           = 2 * time.Second
 	_firstParts    = 3
 	_secondParts   = 20
 )
@@ -39,6 +40,9 @@
 	// between is the number of parts between the first one and the one that may be deadly.
 	between int
 	part    string
+	// dark is how long a worker that crashes is silent before it is back; 0 if its connections
+	// are reset at once.
+	dark time.Duration
 
 	mu      sync.Mutex
 	on      bool
@@ -125,6 +129,7 @@
 		Store:   d.f.store,
 		Record:  d.f.record,
 		Begun:   d.begun,
+		Dark:    d.dark,
 	})
 	if err != nil {
 		d.f.record.write("a worker doesn't start: %v", err)
@@ -163,6 +168,9 @@
 	if n, err := strconv.Atoi(os.Getenv(_betweenChoice)); err == nil {
 		d.between = n
 	}
+	if os.Getenv(_darkChoice) == "1" {
+		d.dark = _back
+	}
 	d.part = d.partID(7)
 	rec.write("ids of parts have %d digits, that of the deadly part is %s, %d parts before it", d.digits, d.part, d.between+1)
 	if err := f.declare([]any{liveRoute()}, []any{engineService(1, 0)}, []any{tenant()}); err != nil {
@@ -184,6 +192,9 @@
 		prefix: d.prefix,
 		ended:  d.note,
 	}
+	if d.dark > 0 {
+		c.patience = _gap
+	}
 	c.run(12, 50*time.Millisecond)
 	time.Sleep(_warmUp)
 	d.mu.Lock()
--- a/review/standin3/query.go
+++ b/review/standin3/query.go
@@ -27,7 +27,6 @@
 	deadlyDay
 
 	alike bool
-	dark  time.Duration
 }
 
 // begun notes the request, and reports whether the worker crashes.
@@ -81,10 +80,8 @@
 // playDark plays a day with a request that crashes workers and comes again as it was; a
 // worker that crashes is silent until it is back. It returns the breaks of the rule BUDGET.
 func playDark(rec *record, trouble bool) (breaks []string, err error) {
-	day := &queryDay{
-		alike: true,
-		dark:  _back,
-	}
+	day := &queryDay{alike: true}
+	day.dark = _back
 	if os.Getenv(_darkChoice) == _troubleOff {
 		day.dark = 0
 	}
