--- a/review/standin3/deadly.go
+++ b/review/standin3/deadly.go
@@ -19,7 +19,7 @@
 	_workersOfZone = 3
 	_back          = 3 * time.Second
 	_lapsed        = 3 * _heartbeat
-	_deadlyShare   = 0.05
+	_deadlyEach    = 25
 	_deadlyFor     = 20 * time.Second
 	_fifth         = 5
 	_allowed       = 3
@@ -46,6 +46,7 @@
 
 	mu      sync.Mutex
 	on      bool
+	asked   int
 	ended   bool
 	started int
 	engines []*engine
@@ -62,7 +63,11 @@
 
 // partID returns the id of a part of a prompt, in hexadecimal.
 func (d *deadlyDay) partID(n int) string {
-	sum := sha256.Sum256([]byte(strconv.Itoa(n)))
+	return d.idOf(strconv.Itoa(n))
+}
+
+func (d *deadlyDay) idOf(text string) string {
+	sum := sha256.Sum256([]byte(text))
 
 	return hex.EncodeToString(sum[:])[:d.digits]
 }
@@ -71,7 +76,10 @@
 func (d *deadlyDay) prefix(id string) string {
 	second := d.partID(100 + rand.IntN(_secondParts))
 	d.mu.Lock()
-	if d.on && rand.Float64() < _deadlyShare {
+	if d.on {
+		d.asked++
+	}
+	if d.on && d.asked%_deadlyEach == 0 {
 		second = d.part
 		d.deadly[id] = true
 	}
@@ -82,7 +90,7 @@
 	for i := range d.between {
 		fmt.Fprintf(&b, "%s:5,", d.partID(1000+i))
 	}
-	fmt.Fprintf(&b, "%s:30,%s:20", second, id)
+	fmt.Fprintf(&b, "%s:30,%s:20", second, d.idOf(id))
 
 	return b.String()
 }
@@ -220,7 +228,7 @@
 func (d *deadlyDay) judge() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.f.record.write("%d crashes, %d requests with the part reached workers", len(d.crashes), len(d.reached))
+	d.f.record.write("%d of %d requests had the part, %d of them reached workers, %d crashes", len(d.deadly), d.asked, len(d.reached), len(d.crashes))
 	if len(d.crashes) == 0 {
 		return nil
 	}
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -82,6 +84,10 @@
 	// added counts all machines, also those that are gone.
 	added   int
 	version int
+
+	mu sync.Mutex
+	// all are the machines whose processes are to be ended.
+	all []*machine
 }
 
 func newFleet(rec *record) (*fleet, error) {
@@ -94,20 +100,38 @@
 		return nil, err
 	}
 
-	return &fleet{
+	f := &fleet{
 		dir:      dir,
 		record:   rec,
 		platform: platform,
 		store:    platform.Store.Platform(),
-	}, nil
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		f.kill()
+		_ = os.RemoveAll(f.dir)
+		os.Exit(_exitCouldNot)
+	}()
+
+	return f, nil
 }
 
-// Close ends all processes and removes what they wrote.
-func (f *fleet) Close() {
-	for _, m := range f.machines {
+// kill ends all processes.
+func (f *fleet) kill() {
+	f.mu.Lock()
+	all := slices.Clone(f.all)
+	f.mu.Unlock()
+	for _, m := range all {
 		m.signal(syscall.SIGKILL)
 		m.wait(_grace)
 	}
+}
+
+// Close ends all processes and removes what they wrote.
+func (f *fleet) Close() {
+	f.kill()
 	f.platform.Close()
 	_ = os.RemoveAll(f.dir)
 }
@@ -122,6 +146,9 @@
 	}
 	m.path = filepath.Join(f.dir, name+".toml")
 	f.machines = append(f.machines, m)
+	f.mu.Lock()
+	f.all = append(f.all, m)
+	f.mu.Unlock()
 
 	return m
 }
